--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,524 @@
+//! The cloud: its wire types, pacing of calls, what to rent, and returning.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::http::Response;
+use crate::model::Flavor;
+use crate::reactor::CallError;
+use crate::settings::Settings;
+use crate::units::{self, Micros, MILLI, SECOND};
+
+mod wire {
+    use super::Deserialize;
+
+    #[derive(Deserialize)]
+    pub struct Flavors {
+        pub plots: Vec<Plot>,
+    }
+
+    #[derive(Deserialize)]
+    pub struct Plot {
+        pub label: String,
+        pub cores: f64,
+        #[serde(default)]
+        pub cards: f64,
+        #[serde(rename = "memoryGb")]
+        pub memory: f64,
+        #[serde(default, rename = "pullGbPerS")]
+        pub fetch: f64,
+        pub price: f64,
+        #[serde(default, rename = "lowPrice")]
+        pub spot_price: f64,
+        #[serde(default, rename = "startupS")]
+        pub boot: f64,
+        #[serde(default)]
+        pub fields: Vec<String>,
+    }
+
+    #[derive(Deserialize)]
+    pub struct Rented {
+        pub tillers: Vec<String>,
+    }
+
+    #[derive(Deserialize)]
+    pub struct List {
+        pub tillers: Vec<Listed>,
+        #[serde(default)]
+        pub more: bool,
+    }
+
+    #[derive(Deserialize)]
+    pub struct Listed {
+        #[serde(rename = "nameId")]
+        pub name: String,
+        pub plot: String,
+        pub field: String,
+        #[serde(default)]
+        pub fallow: bool,
+        #[serde(default)]
+        pub stage: String,
+        #[serde(default, rename = "heldS")]
+        pub held: f64,
+    }
+}
+
+/// What can be rented: type, zone, spot or ordinary.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Offer {
+    /// Type.
+    pub flavor: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot.
+    pub spot: bool,
+}
+
+/// A machine in the cloud's list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listed {
+    /// Name.
+    pub name: String,
+    /// What it is.
+    pub offer: Offer,
+    /// It has stopped by itself.
+    pub failed: bool,
+    /// Age since it was rented, as the list says.
+    pub age: Micros,
+}
+
+/// What the cloud answered.
+#[derive(Debug, PartialEq)]
+pub enum FleetEvent {
+    /// The machine types.
+    Flavors(Vec<Flavor>),
+    /// These were rented for this offer, of so many asked.
+    Rented(Offer, String, Vec<String>, u32),
+    /// None to be had.
+    NoCapacity(Offer),
+    /// These are gone for sure.
+    Released(Vec<String>),
+    /// The whole list.
+    Listed(Vec<Listed>),
+    /// The interface is down or silent.
+    Down,
+}
+
+/// A call to the cloud.
+#[derive(Debug)]
+pub struct CloudCall {
+    /// Handed back with the response.
+    pub op: u64,
+    /// Request method.
+    pub method: &'static str,
+    /// Path and query.
+    pub target: String,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Time it may take.
+    pub timeout: Micros,
+}
+
+#[derive(Debug, Clone)]
+enum Ask {
+    Flavors,
+    Rent {
+        offer: Offer,
+        region: String,
+        count: u32,
+        tenancy: String,
+    },
+    Release(Vec<String>),
+    List {
+        from: Option<String>,
+        got: Vec<Listed>,
+    },
+}
+
+/// Calls to the cloud, one at a time and paced under its rate. Renting and
+/// returning are repeated unchanged until the answer is definite: a repeated
+/// request name rents nothing more, and a machine once asked back never serves again.
+pub struct Fleet {
+    queue: VecDeque<Ask>,
+    flight: Option<(u64, Ask)>,
+    next_op: u64,
+    gap: Micros,
+    next_at: Micros,
+    /// Machines asked back and not yet proved gone.
+    releasing: BTreeSet<String>,
+    failures: u32,
+}
+
+impl Fleet {
+    /// A fleet client within this controller's share of the cloud's rate.
+    pub fn new(s: &Settings) -> Self {
+        Fleet {
+            queue: VecDeque::new(),
+            flight: None,
+            next_op: 1,
+            gap: (1e6 * s.size() as f64 / (s.cloud_rps * 0.8)) as Micros,
+            next_at: 0,
+            releasing: BTreeSet::new(),
+            failures: 0,
+        }
+    }
+
+    /// Whether the interface failed last time.
+    pub fn down(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// Asks for the machine types.
+    pub fn ask_flavors(&mut self) {
+        if !self.has(|a| matches!(a, Ask::Flavors)) {
+            self.queue.push_back(Ask::Flavors);
+        }
+    }
+
+    /// Asks for the list of machines.
+    pub fn ask_list(&mut self) {
+        if !self.has(|a| matches!(a, Ask::List { .. })) {
+            self.queue.push_back(Ask::List {
+                from: None,
+                got: Vec::new(),
+            });
+        }
+    }
+
+    fn has(&self, f: impl Fn(&Ask) -> bool) -> bool {
+        self.queue.iter().any(&f) || self.flight.as_ref().is_some_and(|(_, a)| f(a))
+    }
+
+    /// Rents; `tenancy` must never have been used by anyone.
+    pub fn rent(&mut self, offer: Offer, region: String, count: u32, tenancy: String) {
+        self.queue.push_front(Ask::Rent {
+            offer,
+            region,
+            count: count.clamp(1, 50),
+            tenancy,
+        });
+    }
+
+    /// Whether a rental of this offer is under way.
+    pub fn renting(&self) -> Vec<(Offer, u32)> {
+        self.queue
+            .iter()
+            .chain(self.flight.as_ref().map(|(_, a)| a))
+            .filter_map(|a| match a {
+                Ask::Rent { offer, count, .. } => Some((offer.clone(), *count)),
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// Drops rentals that have not been sent: their leader is one no more.
+    pub fn drop_rentals(&mut self) {
+        self.queue.retain(|a| !matches!(a, Ask::Rent { .. }));
+    }
+
+    /// Returns machines.
+    pub fn release(&mut self, names: Vec<String>) {
+        let fresh: Vec<String> = names
+            .into_iter()
+            .filter(|n| self.releasing.insert(n.clone()))
+            .collect();
+        for chunk in fresh.chunks(100) {
+            self.queue.push_back(Ask::Release(chunk.to_vec()));
+        }
+    }
+
+    /// The next call, if one is due, and when to look again.
+    pub fn pump(&mut self, now: Micros) -> (Option<CloudCall>, Micros) {
+        if self.flight.is_some() || self.queue.is_empty() {
+            return (None, now + SECOND);
+        }
+        if now < self.next_at {
+            return (None, self.next_at);
+        }
+        let Some(ask) = self.queue.pop_front() else {
+            return (None, now + SECOND);
+        };
+        let op = self.next_op;
+        self.next_op += 1;
+        self.next_at = now + self.gap;
+        let body = |v: serde_json::Value| rmp_serde::to_vec(&v).unwrap_or_default();
+        let (method, target, body) = match &ask {
+            Ask::Flavors => ("GET", "/flavors".to_owned(), Vec::new()),
+            Ask::Rent {
+                offer,
+                count,
+                tenancy,
+                ..
+            } => (
+                "POST",
+                "/machines".to_owned(),
+                body(
+                    json!({"tenancy": tenancy, "plot": offer.flavor, "field": offer.zone,
+                    "fallow": offer.spot, "count": count}),
+                ),
+            ),
+            Ask::Release(names) => (
+                "POST",
+                "/machines/release".to_owned(),
+                body(json!({ "tillers": names })),
+            ),
+            Ask::List { from, .. } => (
+                "GET",
+                match from {
+                    Some(f) => format!("/machines?from={f}&page=200"),
+                    None => "/machines?page=200".to_owned(),
+                },
+                Vec::new(),
+            ),
+        };
+        self.flight = Some((op, ask));
+        let call = CloudCall {
+            op,
+            method,
+            target,
+            body,
+            timeout: 3 * SECOND,
+        };
+        (Some(call), now + SECOND)
+    }
+
+    /// Takes the end of a call.
+    pub fn on_response(
+        &mut self,
+        op: u64,
+        result: Result<Response, CallError>,
+        now: Micros,
+    ) -> Vec<FleetEvent> {
+        let Some((_, ask)) = self.flight.take_if(|(o, _)| *o == op) else {
+            return Vec::new();
+        };
+        let ok = match &result {
+            Ok(r) if r.status == 200 => self.take(&ask, &r.body),
+            Ok(r) if r.status == 503 && no_capacity(&r.body) => {
+                if let Ask::Rent { offer, .. } = ask {
+                    self.failures = 0;
+                    return vec![FleetEvent::NoCapacity(offer)];
+                }
+                None
+            }
+            Ok(r) if r.status == 400 => {
+                log::error!("fleet: {ask:?}: refused as malformed");
+                match ask {
+                    Ask::Rent { offer, .. } => return vec![FleetEvent::NoCapacity(offer)],
+                    _ => return Vec::new(),
+                }
+            }
+            _ => None,
+        };
+        if let Some(events) = ok {
+            self.failures = 0;
+            return events;
+        }
+        let why = match &result {
+            Ok(r) => format!("status {}", r.status),
+            Err(e) => e.to_string(),
+        };
+        self.failures = (self.failures + 1).min(6);
+        log::info!("fleet: cloud: {why}, trying again");
+        self.next_at = now + ((300 * MILLI) << self.failures).min(5 * SECOND);
+        // Refused for its rate or an outage, or unanswered: asked again as it was.
+        match ask {
+            Ask::List { .. } | Ask::Flavors => {}
+            a => self.queue.push_front(a),
+        }
+        vec![FleetEvent::Down]
+    }
+
+    fn take(&mut self, ask: &Ask, body: &[u8]) -> Option<Vec<FleetEvent>> {
+        fn read<T: for<'a> Deserialize<'a>>(body: &[u8]) -> Option<T> {
+            rmp_serde::from_slice(body)
+                .map_err(|e| log::error!("fleet: answer can't be read: {e}"))
+                .ok()
+        }
+        Some(match ask {
+            Ask::Flavors => {
+                let f: wire::Flavors = read(body)?;
+                vec![FleetEvent::Flavors(
+                    f.plots.into_iter().map(flavor).collect(),
+                )]
+            }
+            Ask::Rent {
+                offer,
+                region,
+                count,
+                ..
+            } => {
+                let r: wire::Rented = read(body)?;
+                vec![FleetEvent::Rented(
+                    offer.clone(),
+                    region.clone(),
+                    r.tillers,
+                    *count,
+                )]
+            }
+            Ask::Release(names) => {
+                for n in names {
+                    self.releasing.remove(n);
+                }
+                vec![FleetEvent::Released(names.clone())]
+            }
+            Ask::List { got, .. } => {
+                let l: wire::List = read(body)?;
+                let mut got = got.clone();
+                got.extend(l.tillers.into_iter().map(|m| Listed {
+                    name: m.name,
+                    offer: Offer {
+                        flavor: m.plot,
+                        zone: m.field,
+                        spot: m.fallow,
+                    },
+                    failed: m.stage == "failed",
+                    age: units::secs(m.held),
+                }));
+                if l.more && got.len() < 5000 {
+                    let from = got.last().map(|m| m.name.clone());
+                    self.queue.push_front(Ask::List { from, got });
+                    return Some(Vec::new());
+                }
+                vec![FleetEvent::Listed(got)]
+            }
+        })
+    }
+}
+
+fn no_capacity(body: &[u8]) -> bool {
+    #[derive(Deserialize)]
+    struct E {
+        error: String,
+    }
+    rmp_serde::from_slice::<E>(body).is_ok_and(|e| e.error == "no capacity")
+}
+
+fn flavor(p: wire::Plot) -> Flavor {
+    Flavor {
+        name: p.label,
+        cpus: units::room(p.cores),
+        gpus: units::room(p.cards),
+        mem: units::room(p.memory),
+        fetch: units::room(p.fetch),
+        price: units::room(p.price),
+        spot_price: units::room(p.spot_price),
+        boot: units::secs(p.boot),
+        zones: p.fields,
+    }
+}
+
+/// Offers that were refused lately, and until when they are not asked for.
+#[derive(Debug, Default)]
+pub struct Refusals {
+    until: HashMap<Offer, (Micros, u32)>,
+}
+
+impl Refusals {
+    /// An offer was refused (or only partly filled).
+    pub fn refused(&mut self, o: &Offer, now: Micros) {
+        let e = self.until.entry(o.clone()).or_insert((0, 0));
+        e.1 = (e.1 + 1).min(4);
+        e.0 = now + ((4 * SECOND) << e.1).min(30 * SECOND);
+    }
+
+    /// An offer was filled.
+    pub fn filled(&mut self, o: &Offer) {
+        self.until.remove(o);
+    }
+
+    /// Whether to leave it alone for now.
+    pub fn closed(&self, o: &Offer, now: Micros) -> bool {
+        self.until.get(o).is_some_and(|(t, _)| now < *t)
+    }
+}
+
+/// All offers of the types, in order.
+pub fn offers(
+    flavors: &BTreeMap<String, crate::registry::replica::Versioned<Flavor>>,
+) -> Vec<Offer> {
+    let mut out = Vec::new();
+    for f in flavors.values() {
+        for z in &f.value.zones {
+            for spot in [true, false] {
+                out.push(Offer {
+                    flavor: f.value.name.clone(),
+                    zone: z.clone(),
+                    spot,
+                });
+            }
+        }
+    }
+    out
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn fleet() -> Fleet {
+        let s = Settings::parse("f", &crate::settings::tests::sample()).unwrap();
+        Fleet::new(&s)
+    }
+
+    fn reply(status: u16, v: serde_json::Value) -> Result<Response, CallError> {
+        Ok(Response::new(status, rmp_serde::to_vec(&v).unwrap()))
+    }
+
+    /// An unanswered rental goes out again under the same request name, so that
+    /// it can't rent twice; a refusal ends it.
+    #[test]
+    fn rentals_repeat_until_definite() {
+        let mut f = fleet();
+        let offer = Offer {
+            flavor: "big".into(),
+            zone: "a".into(),
+            spot: false,
+        };
+        f.rent(offer.clone(), "t-0".into(), 2, "x-1".into());
+        let mut now = 1;
+        let mut bodies = Vec::new();
+        for result in [
+            Err(CallError::NoAnswer),
+            reply(503, json!({"error": "trouble"})),
+            reply(429, json!({})),
+            reply(200, json!({"tillers": ["m-1"]})),
+        ] {
+            now += 10 * SECOND;
+            let call = f.pump(now).0.unwrap();
+            bodies.push(call.body);
+            let got = f.on_response(call.op, result.clone(), now);
+            if result.is_ok_and(|r| r.status == 200) {
+                let want = FleetEvent::Rented(offer.clone(), "t-0".into(), vec!["m-1".into()], 2);
+                assert_eq!(got, [want]);
+            } else {
+                assert_eq!(got, [FleetEvent::Down]);
+            }
+        }
+        assert!(bodies.windows(2).all(|w| w[0] == w[1]));
+        f.rent(offer.clone(), "t-0".into(), 1, "x-2".into());
+        now += 10 * SECOND;
+        let call = f.pump(now).0.unwrap();
+        let got = f.on_response(call.op, reply(503, json!({"error": "no capacity"})), now);
+        assert_eq!(got, [FleetEvent::NoCapacity(offer)]);
+        assert!(f.pump(now + 10 * SECOND).0.is_none());
+    }
+
+    #[test]
+    fn a_return_is_asked_once_until_gone() {
+        let mut f = fleet();
+        f.release(vec!["m-1".into()]);
+        f.release(vec!["m-1".into()]);
+        let call = f.pump(SECOND).0.unwrap();
+        assert_eq!(
+            f.on_response(call.op, Err(CallError::NotSent), SECOND),
+            [FleetEvent::Down]
+        );
+        let call = f.pump(9 * SECOND).0.unwrap();
+        let got = f.on_response(call.op, reply(200, json!({})), 9 * SECOND);
+        assert_eq!(got, [FleetEvent::Released(vec!["m-1".into()])]);
+        assert!(f.pump(20 * SECOND).0.is_none());
+    }
+}
--- /dev/null
+++ b/src/intake.rs
@@ -0,0 +1,382 @@
+//! The users' side: reading submissions, saying where a job stands, and the
+//! limit on requests in progress.
+
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+use crate::model::{is_job_id, JobSpec, Kind, Rank};
+use crate::quota;
+use crate::registry::records::Stage;
+use crate::registry::replica::Replica;
+use crate::settings::Settings;
+use crate::units::{self, Micros, MILLI, SECOND};
+
+mod wire {
+    use super::{Deserialize, Serialize};
+
+    #[derive(Deserialize)]
+    pub struct Submission {
+        #[serde(rename = "nameId")]
+        pub id: String,
+        pub crop: String,
+        pub crew: String,
+        pub furrow: String,
+        pub rank: String,
+        pub sheaves: u64,
+        pub cores: f64,
+        pub cards: f64,
+        #[serde(rename = "memoryGb")]
+        pub memory: f64,
+        pub seed: String,
+        #[serde(rename = "sizeGb")]
+        pub size: f64,
+        #[serde(default)]
+        pub plots: Option<Vec<String>>,
+        #[serde(default)]
+        pub field: Option<String>,
+        #[serde(rename = "samePlace")]
+        pub same_place: bool,
+        pub spread: bool,
+        pub fallow: bool,
+        #[serde(rename = "growthS")]
+        pub growth: f64,
+        #[serde(rename = "stookS")]
+        pub stook: f64,
+        #[serde(rename = "bindS")]
+        pub bind: f64,
+        #[serde(default, rename = "harvestS")]
+        pub harvest: Option<f64>,
+    }
+
+    #[derive(Serialize)]
+    pub struct State<'a> {
+        #[serde(rename = "nameId")]
+        pub id: &'a str,
+        pub stage: &'a str,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        pub done: Option<u32>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        pub running: Option<u32>,
+    }
+}
+
+/// Why a submission is not taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    /// 400.
+    #[error("malformed")]
+    Malformed,
+    /// 422.
+    #[error("can never run: {0}")]
+    Never(&'static str),
+    /// 503.
+    #[error("can't be decided yet: {0}")]
+    NotYet(&'static str),
+}
+
+/// Whether bytes begin a MessagePack map; a list would be read as one too.
+fn is_map(body: &[u8]) -> bool {
+    matches!(body.first(), Some(0x80..=0x8f | 0xde | 0xdf))
+}
+
+/// Reads a submission. `wall` is the time of day.
+pub fn parse_submission(body: &[u8], wall: Micros) -> Result<(String, JobSpec), Refusal> {
+    if !is_map(body) {
+        return Err(Refusal::Malformed);
+    }
+    let mut de = rmp_serde::Deserializer::from_read_ref(body);
+    let w = wire::Submission::deserialize(&mut de).map_err(|e| {
+        log::debug!("intake: submission: {e}");
+        Refusal::Malformed
+    })?;
+    let span = |s: f64| (s.is_finite() && (0.0..=1e9).contains(&s)).then(|| units::secs(s));
+    let amount = |a: f64| (a.is_finite() && (0.0..=1e6).contains(&a)).then(|| units::need(a));
+    let spec = || -> Option<JobSpec> {
+        Some(JobSpec {
+            kind: match w.furrow.as_str() {
+                "batch" => Kind::Array,
+                "gang" => Kind::Gang,
+                "standing" => Kind::Service,
+                _ => return None,
+            },
+            rank: match w.rank.as_str() {
+                "critical" => Rank::Production,
+                "urgent" => Rank::High,
+                "standard" => Rank::Normal,
+                "low" => Rank::Low,
+                _ => return None,
+            },
+            tasks: u32::try_from(w.sheaves)
+                .ok()
+                .filter(|n| (1..=100_000).contains(n))?,
+            cpus: amount(w.cores)?,
+            gpus: amount(w.cards)?,
+            mem: amount(w.memory)?,
+            image_size: amount(w.size)?,
+            estimate: span(w.growth)?,
+            checkpoint: span(w.stook)?,
+            save: span(w.bind)?,
+            deadline: match w.harvest {
+                None => None,
+                Some(d) => Some(span(d)?),
+            },
+            class: w.crop.clone(),
+            team: w.crew.clone(),
+            types: w.plots.clone(),
+            zone: w.field.clone(),
+            one_zone: w.same_place,
+            spread: w.spread,
+            spot: w.fallow,
+            image: w.seed.clone(),
+            submitted: wall,
+        })
+    };
+    // Keys may not hold more than 200 bytes, nor the record more than a value.
+    if !is_job_id(&w.id) || w.cores <= 0.0 {
+        return Err(Refusal::Malformed);
+    }
+    spec().map(|s| (w.id.clone(), s)).ok_or(Refusal::Malformed)
+}
+
+/// Whether a job can ever run here.
+pub fn check(spec: &JobSpec, replica: &Replica, settings: &Settings) -> Result<(), Refusal> {
+    let Some(team) = settings.team(&spec.team) else {
+        return Err(Refusal::Never("unknown team"));
+    };
+    if !quota::can_ever(spec.kind, spec.tasks, spec.amount(), team.limit) {
+        return Err(Refusal::Never("more than the team's limit"));
+    }
+    if replica.flavors.is_empty() {
+        return Err(Refusal::NotYet("machine types unknown"));
+    }
+    if !replica.flavors.values().any(|f| spec.fits_type(&f.value)) {
+        return Err(Refusal::Never("a task fits no allowed machine type"));
+    }
+    if let Some(z) = &spec.zone {
+        let known = settings.zones.contains(z)
+            || replica.flavors.values().any(|f| f.value.zones.contains(z));
+        if !known {
+            return Err(Refusal::Never("unknown zone"));
+        }
+    }
+    if serde_json::to_string(spec).map_or(usize::MAX, |s| s.len()) + 1024 > settings.value_bytes {
+        return Err(Refusal::Never("its description is too long to keep"));
+    }
+    Ok(())
+}
+
+/// The body that says where a job stands.
+pub fn state_body(id: &str, stage: Stage, counts: Option<(u32, u32)>) -> Vec<u8> {
+    let running = counts.is_some_and(|(_, r)| r > 0);
+    let stage = match stage {
+        Stage::Open if running => "running",
+        Stage::Open => "queued",
+        Stage::Done => "done",
+        Stage::Cancelled => "cancelled",
+    };
+    rmp_serde::to_vec_named(&wire::State {
+        id,
+        stage,
+        done: counts.map(|c| c.0),
+        running: counts.map(|c| c.1),
+    })
+    .unwrap_or_default()
+}
+
+/// A limit on requests in progress that adjusts itself to measured times: while
+/// the state service answers as fast as it has shown it can, the limit grows by
+/// steps when it is being reached; when answers get slow, it shrinks by a share.
+pub struct Limiter {
+    limit: f64,
+    most: f64,
+    window: Histogram<u64>,
+    /// The best high quantile of any window: what is possible here.
+    floor: Option<u64>,
+    window_ends: Micros,
+    peak: usize,
+}
+
+const LEAST: f64 = 4.0;
+const WINDOW: Micros = SECOND;
+
+impl Limiter {
+    /// A limiter that never lets more than `most` in.
+    pub fn new(most: usize) -> Self {
+        let most = (most as f64).max(LEAST);
+        Limiter {
+            limit: 32f64.min(most),
+            most,
+            // The bounds are constant and valid; auto-resize is not needed.
+            window: Histogram::new_with_bounds(1, 60 * SECOND, 2)
+                .unwrap_or_else(|_| unreachable!("constant bounds")),
+            floor: None,
+            window_ends: 0,
+            peak: 0,
+        }
+    }
+
+    /// Whether one more may come in beside `in_progress` others.
+    pub fn admits(&mut self, in_progress: usize) -> bool {
+        self.peak = self.peak.max(in_progress + 1);
+        in_progress < self.limit()
+    }
+
+    /// The limit now.
+    pub fn limit(&self) -> usize {
+        self.limit as usize
+    }
+
+    /// Takes a measured time.
+    pub fn measured(&mut self, took: Micros, now: Micros) {
+        self.window.saturating_record(took.max(1));
+        if now < self.window_ends || self.window.len() < 4 {
+            return;
+        }
+        let high = self.window.value_at_quantile(0.8);
+        self.window.reset();
+        self.window_ends = now + WINDOW;
+        let floor = self.floor.map_or(high, |f| f.min(high));
+        // Forget slowly, so that one lucky window doesn't set the bar for ever.
+        self.floor = Some(floor + floor / 50 + 1);
+        if high > 3 * floor + 50 * MILLI {
+            self.limit = (self.limit * 0.8).max(LEAST);
+        } else if self.peak as f64 * 1.2 >= self.limit {
+            self.limit = (self.limit + 4.0).min(self.most);
+        }
+        self.peak = 0;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::{json, Value};
+
+    fn good() -> Value {
+        json!({"nameId":"req-000412","crop":"train","crew":"blue","furrow":"gang","rank":"urgent","sheaves":2,
+            "cores":4.0,"cards":1,"memoryGb":6.5,"seed":"img-07","sizeGb":6.2,"plots":["g8"],"field":null,
+            "samePlace":true,"spread":false,"fallow":true,"growthS":240.0,"stookS":30.0,"bindS":4.0,
+            "harvestS":900.0,"later":[1]})
+    }
+
+    #[test]
+    fn submissions_good_and_bad() {
+        let bytes = |v: &Value| rmp_serde::to_vec(v).unwrap();
+        let (id, s) = parse_submission(&bytes(&good()), 7).unwrap();
+        assert_eq!(id, "req-000412");
+        assert_eq!(
+            (s.tasks, s.cpus, s.gpus, s.submitted),
+            (2, 4_000_000, 1_000_000, 7)
+        );
+        let mut cases: Vec<(&str, Value)> = vec![
+            ("nameId", json!("x-1")),
+            ("nameId", json!(7)),
+            ("furrow", json!("heap")),
+            ("rank", json!("normal")),
+            ("sheaves", json!(0)),
+            ("sheaves", json!(-1)),
+            ("sheaves", json!(100_001)),
+            ("sheaves", json!(2.5)),
+            ("cores", json!(-1.0)),
+            ("cores", json!(0.0)),
+            ("cores", json!("4")),
+            ("memoryGb", json!(-0.5)),
+            ("samePlace", json!(1)),
+            ("growthS", json!(-3)),
+            ("plots", json!("g8")),
+            ("harvestS", json!(-1)),
+            ("seed", json!(null)),
+        ];
+        for field in ["nameId", "crew", "sheaves", "cores", "fallow", "bindS"] {
+            cases.push((field, Value::Null));
+        }
+        for (field, value) in cases {
+            let mut v = good();
+            v[field] = value.clone();
+            assert_eq!(
+                parse_submission(&bytes(&v), 0),
+                Err(Refusal::Malformed),
+                "{field} {value}"
+            );
+        }
+        for field in ["plots", "field", "harvestS"] {
+            let mut v = good();
+            v.as_object_mut().unwrap().remove(field);
+            assert!(
+                parse_submission(&bytes(&v), 0).is_ok(),
+                "{field} may be left out"
+            );
+        }
+        let mut missing = good();
+        missing.as_object_mut().unwrap().remove("stookS");
+        assert!(parse_submission(&bytes(&missing), 0).is_err());
+        // A list in the fields' order, plain nonsense, and NaN.
+        let list = json!(["req-1", "a", "b"]);
+        for body in [bytes(&list), vec![], vec![0xc1], b"{}".to_vec()] {
+            assert_eq!(parse_submission(&body, 0), Err(Refusal::Malformed));
+        }
+        let mut nan = bytes(&good());
+        let at = nan.windows(5).position(|w| w == b"cores").unwrap() + 5;
+        nan[at + 1..at + 9].copy_from_slice(&f64::NAN.to_be_bytes());
+        assert_eq!(parse_submission(&nan, 0), Err(Refusal::Malformed));
+    }
+
+    #[test]
+    fn what_can_never_run() {
+        let settings = Settings::parse("f", &crate::settings::tests::sample()).unwrap();
+        let mut r = Replica::default();
+        let base = parse_submission(&rmp_serde::to_vec(&good()).unwrap(), 0)
+            .unwrap()
+            .1;
+        assert!(matches!(
+            check(&base, &r, &settings),
+            Err(Refusal::NotYet(_))
+        ));
+        let f = json!({"name":"g8","cpus":8_000_000u64,"gpus":1_000_000u64,"mem":64_000_000u64,"fetch":1,
+            "price":1,"spot_price":1,"boot":1,"zones":["a","b"]});
+        r.event("st/flavor/g8", Some(f), 1);
+        let with = |change: &dyn Fn(&mut JobSpec)| {
+            let mut s = base.clone();
+            change(&mut s);
+            check(&s, &r, &settings)
+        };
+        assert_eq!(with(&|_| {}), Ok(()));
+        assert_eq!(with(&|s| s.zone = Some("b".into())), Ok(()));
+        for (what, res) in [
+            ("team", with(&|s| s.team = "green".into())),
+            ("type", with(&|s| s.types = Some(vec!["x".into()]))),
+            ("no type", with(&|s| s.types = Some(vec![]))),
+            ("cpus", with(&|s| s.cpus = 9_000_000)),
+            ("mem", with(&|s| s.mem = 65_000_000)),
+            ("limit", with(&|s| s.tasks = 3)),
+            ("zone", with(&|s| s.zone = Some("q".into()))),
+            ("length", with(&|s| s.class = "x".repeat(5000))),
+        ] {
+            assert!(matches!(res, Err(Refusal::Never(_))), "{what}: {res:?}");
+        }
+    }
+
+    #[test]
+    fn the_limit_follows_measured_times() {
+        let mut l = Limiter::new(200);
+        let start = l.limit();
+        let mut now = 0;
+        let mut feed = |l: &mut Limiter, ms: u64, secs: u64, busy: usize| {
+            for _ in 0..secs * 10 {
+                now += SECOND / 10;
+                l.admits(busy);
+                l.measured(ms * MILLI, now);
+            }
+        };
+        feed(&mut l, 8, 10, 40);
+        let grown = l.limit();
+        assert!(grown > start);
+        feed(&mut l, 900, 10, 40);
+        assert!(l.limit() < grown / 2);
+        assert!(l.limit() >= LEAST as usize);
+        let small = l.limit();
+        assert!(l.admits(small - 1) && !l.admits(small));
+        feed(&mut l, 8, 60, 40);
+        assert!(l.limit() > small);
+    }
+}
--- /dev/null
+++ b/src/mesh.rs
@@ -0,0 +1,152 @@
+//! What controllers tell each other. Nothing here carries authority: all of it
+//! may be lost, late or repeated, and is checked against the records before it
+//! is acted on.
+
+#![allow(missing_docs)] // rkyv's derives make items that can't carry any
+
+use rkyv::{Archive, Deserialize, Serialize};
+
+/// A machine's room as its owner sees it; amounts in millionths.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq)]
+pub struct RoomLine {
+    /// Machine.
+    pub machine: String,
+    /// Free processors, cards and memory; of a machine not up yet, all of it.
+    pub free: (u64, u64, u64),
+    /// Tasks held.
+    pub tasks: u32,
+    /// Heard from and open to placing.
+    pub live: bool,
+}
+
+/// A job with tasks that wait in a region.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq)]
+pub struct WaitLine {
+    /// Job.
+    pub job: String,
+    /// Tasks that wait and could be started or moved.
+    pub waiting: u32,
+    /// How long the oldest has waited for room.
+    pub since_us: u64,
+}
+
+/// Counts of a job for display.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq)]
+pub struct CountLine {
+    /// Job.
+    pub job: String,
+    /// Tasks on machines.
+    pub running: u32,
+}
+
+/// One region as its owner sees it.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq)]
+pub struct RegionReport {
+    /// Region.
+    pub region: String,
+    /// The owner's token.
+    pub token: u64,
+    /// Whether all machines are accounted for.
+    pub settled: bool,
+    /// Machines.
+    pub rooms: Vec<RoomLine>,
+    /// Waiting work, the most urgent first.
+    pub waits: Vec<WaitLine>,
+    /// Running tasks by job.
+    pub counts: Vec<CountLine>,
+}
+
+/// A message between controllers.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq)]
+pub enum Message {
+    /// How the sender is and what it owns.
+    State {
+        /// Host name.
+        from: String,
+        /// Which run of its process.
+        run: u64,
+        /// Its state service reads are recent.
+        fresh: bool,
+        /// Regions it owns.
+        regions: Vec<RegionReport>,
+    },
+    /// The leader asks an owner to give waiting tasks of a job to another region.
+    Move {
+        /// Job.
+        job: String,
+        /// Region that gives.
+        from: String,
+        /// Region that takes.
+        to: String,
+        /// How many tasks at most.
+        count: u32,
+    },
+}
+
+/// A message as bytes.
+pub fn encode(m: &Message) -> Vec<u8> {
+    rkyv::to_bytes::<rkyv::rancor::Error>(m)
+        .map(|b| b.to_vec())
+        .unwrap_or_default()
+}
+
+/// Reads a message; what can't be validated is refused.
+pub fn decode(bytes: &[u8]) -> Option<Message> {
+    let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(bytes.len());
+    aligned.extend_from_slice(bytes);
+    match rkyv::from_bytes::<Message, rkyv::rancor::Error>(&aligned) {
+        Ok(m) => Some(m),
+        Err(e) => {
+            log::info!("mesh: message: can't be read: {e}");
+            None
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn sample() -> Message {
+        Message::State {
+            from: "t-0".into(),
+            run: 3,
+            fresh: true,
+            regions: vec![RegionReport {
+                region: "t-0".into(),
+                token: 9,
+                settled: true,
+                rooms: vec![RoomLine {
+                    machine: "m-1".into(),
+                    free: (1, 2, 3),
+                    tasks: 4,
+                    live: true,
+                }],
+                waits: vec![WaitLine {
+                    job: "req-1".into(),
+                    waiting: 5,
+                    since_us: 6,
+                }],
+                counts: vec![CountLine {
+                    job: "req-1".into(),
+                    running: 2,
+                }],
+            }],
+        }
+    }
+
+    proptest! {
+        /// A broken message is refused or read as something harmless, never a crash.
+        #[test]
+        fn damage_never_panics(at in 0usize..400, bit in 0u8..8, cut in 0usize..400) {
+            let mut b = encode(&sample());
+            prop_assert_eq!(decode(&b), Some(sample()));
+            let n = b.len();
+            b[at % n] ^= 1 << bit;
+            let _ = decode(&b);
+            b.truncate(cut % n);
+            let _ = decode(&b);
+        }
+    }
+}
--- /dev/null
+++ b/src/quota.rs
@@ -0,0 +1,125 @@
+//! Arithmetic of teams' limits and guarantees. Limits hold over all regions
+//! together: each region starts tasks only inside its own share, and the shares
+//! of a team, changed by compare-and-set, never sum to more than its limit.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use crate::model::Kind;
+use crate::registry::records::QuotaRecord;
+use crate::registry::replica::Replica;
+use crate::settings::{Amount, Settings};
+
+/// A region's share on record.
+pub fn share(rec: Option<&QuotaRecord>, region: &str) -> Amount {
+    rec.and_then(|q| q.0.get(region))
+        .map_or(Amount::default(), |(c, g)| Amount { cpus: *c, gpus: *g })
+}
+
+/// The record with the region's share set as near to `target` as the limit
+/// allows; `None` if that changes nothing.
+pub fn propose(
+    rec: Option<&QuotaRecord>,
+    region: &str,
+    limit: Amount,
+    target: Amount,
+) -> Option<(QuotaRecord, Amount)> {
+    let mut q = rec.cloned().unwrap_or_default();
+    let others =
+        q.0.iter()
+            .filter(|(r, _)| *r != region)
+            .fold(Amount::default(), |a, (_, (c, g))| {
+                a.plus(Amount { cpus: *c, gpus: *g })
+            });
+    let new = target.min(limit.minus(others));
+    if new == share(rec, region) {
+        return None;
+    }
+    if new == Amount::default() {
+        q.0.remove(region);
+    } else {
+        q.0.insert(region.to_owned(), (new.cpus, new.gpus));
+    }
+    Some((q, new))
+}
+
+/// The open jobs that fit into their team's guarantee together with the team's
+/// earlier unfinished ones.
+pub fn within_guarantee(replica: &Replica, settings: &Settings) -> HashSet<String> {
+    let mut by_team: HashMap<&str, BTreeMap<(u64, &str), Amount>> = HashMap::new();
+    for (id, _, s) in replica.open_jobs() {
+        by_team
+            .entry(&s.team)
+            .or_default()
+            .insert((s.submitted, id), s.amount().times(s.tasks as u64));
+    }
+    let mut out = HashSet::new();
+    for (team, jobs) in by_team {
+        let Some(t) = settings.team(team) else {
+            continue;
+        };
+        let mut sum = Amount::default();
+        for ((_, id), need) in jobs {
+            sum = sum.plus(need);
+            if sum.within(t.guarantee) {
+                out.insert(id.to_owned());
+            }
+        }
+    }
+    out
+}
+
+/// Whether a job of this size can ever run inside the team's limit.
+pub fn can_ever(kind: Kind, tasks: u32, each: Amount, limit: Amount) -> bool {
+    let n = match kind {
+        Kind::Array => 1,
+        Kind::Gang | Kind::Service => tasks as u64,
+    };
+    each.times(n).within(limit)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn a(cpus: u64, gpus: u64) -> Amount {
+        Amount { cpus, gpus }
+    }
+
+    #[test]
+    fn limits() {
+        for (kind, tasks, each, fits) in [
+            (Kind::Array, 1000, a(5, 0), true),
+            (Kind::Array, 1, a(11, 0), false),
+            (Kind::Gang, 2, a(5, 0), true),
+            (Kind::Gang, 3, a(5, 0), false),
+            (Kind::Service, 3, a(5, 0), false),
+            (Kind::Array, 1, a(1, 1), false),
+            (Kind::Gang, u32::MAX, a(u64::MAX, 0), false),
+        ] {
+            assert_eq!(
+                can_ever(kind, tasks, each, a(10, 0)),
+                fits,
+                "{kind:?} {tasks}"
+            );
+        }
+    }
+
+    proptest! {
+        /// Whatever regions ask for, in any order, the shares never exceed the limit.
+        #[test]
+        fn shares_stay_inside(asks in proptest::collection::vec((0usize..4, 0u64..30, 0u64..5), 0..40)) {
+            let limit = a(20, 3);
+            let mut rec = QuotaRecord::default();
+            for (r, c, g) in asks {
+                let region = format!("r{r}");
+                if let Some((q, new)) = propose(Some(&rec), &region, limit, a(c, g)) {
+                    prop_assert!(new.within(a(c, g)));
+                    rec = q;
+                }
+                let sum = rec.0.values().fold(a(0, 0), |s, (c, g)| s.plus(a(*c, *g)));
+                prop_assert!(sum.within(limit));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/region.rs
@@ -0,0 +1,1703 @@
+//! The second level: the owner of a region places its tasks on its machines.
+//!
+//! Every task of a job bound here is in one [`Place`]; [`Region::shift`] is the
+//! only function that changes it. What is known of machines comes from their
+//! reports alone, and a task that may be on a machine stays there until that
+//! machine says otherwise or is provably empty.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::rc::Rc;
+
+use crate::mesh::{CountLine, RegionReport, RoomLine, WaitLine};
+use crate::model::{Flavor, JobId, JobSpec, Kind, RangeSet};
+use crate::quota;
+use crate::registry::records::{
+    bitmap, read_bitmap, value, JobRecord, Key, MachineRecord, Part, Stage, CHUNK,
+};
+use crate::registry::replica::Replica;
+use crate::registry::{Outcome, Txn, Urgency};
+use crate::settings::{Amount, Settings};
+use crate::units::{stretch, to_secs, Micros, MILLI, SECOND};
+use crate::workers::{Command, End, OnMachine, Report, MAX_COMMANDS};
+
+/// Where a task is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Place {
+    /// On no machine, free to be started.
+    Waiting,
+    /// A former owner may have started it: on a machine not yet accounted for.
+    Unsettled,
+    /// On no machine; a commit that gives it to another region is under way.
+    Moving,
+    /// Meant for a machine, the start not yet sent.
+    Assigned,
+    /// The start is in an answer; the next report tells.
+    Sent,
+    /// Reported by its machine.
+    On(OnMachine),
+    /// Done.
+    Done,
+}
+
+/// A task on (or meant for) a machine.
+#[derive(Debug, Clone)]
+struct Held {
+    attempt: u64,
+    place: Place,
+    need: Amount,
+    mem: u64,
+    team: Rc<str>,
+    /// Fits no other type of machine.
+    narrow: bool,
+    /// Must go: with this grace.
+    stop: Option<Micros>,
+    since: Micros,
+}
+
+/// How a machine stands with us.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Not heard from under our token.
+    Expected,
+    /// Heard from under our token.
+    Live,
+    /// Silent for longer than its lease: nothing is on it.
+    Empty,
+}
+
+#[derive(Debug)]
+struct Machine {
+    rec: MachineRecord,
+    cap: (u64, u64, u64),
+    used: (u64, u64, u64),
+    standing: Standing,
+    order: (u64, u64),
+    /// Our last 200 to it, or the last time a former owner may have sent one.
+    last_ok: Micros,
+    heard_at: Micros,
+    dealt_at: Micros,
+    boot: Micros,
+    notice: Option<Micros>,
+    tasks: BTreeMap<(JobId, u32), Held>,
+    idle_since: Micros,
+    errors: u32,
+    images: BTreeSet<String>,
+    closed: Option<&'static str>,
+    releasing: bool,
+    gone: bool,
+    opening: bool,
+}
+
+impl Machine {
+    fn free(&self) -> (u64, u64, u64) {
+        (
+            self.cap.0.saturating_sub(self.used.0),
+            self.cap.1.saturating_sub(self.used.1),
+            self.cap.2.saturating_sub(self.used.2),
+        )
+    }
+    fn open(&self) -> bool {
+        self.standing == Standing::Live && self.closed.is_none() && self.rec.opened
+    }
+}
+
+#[derive(Debug)]
+struct Job {
+    spec: Rc<JobSpec>,
+    /// Tasks bound here.
+    mine: RangeSet,
+    waiting: RangeSet,
+    unsettled: RangeSet,
+    moving: RangeSet,
+    done: RangeSet,
+    /// Done, but not yet on record.
+    pending: RangeSet,
+    out: BTreeMap<u32, String>,
+    over: bool,
+    wait_since: Micros,
+    not_before: Micros,
+    failures: u32,
+    failed_on: BTreeSet<String>,
+    writing: bool,
+    last_write: Micros,
+    breaking: bool,
+    narrow_to: Option<String>,
+}
+
+/// What a commit was for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Purpose {
+    /// Finished tasks of a job.
+    Progress(JobId, RangeSet),
+    /// A job's end.
+    Finish(JobId),
+    /// A team's share.
+    Share(String),
+    /// Tasks given to another region.
+    Move(JobId),
+    /// A machine about to get its first task.
+    Open(String),
+    /// A machine that is gone.
+    Forget(String),
+}
+
+/// What the region wants done.
+#[derive(Debug)]
+pub enum Effect {
+    /// Commit this.
+    Commit(Txn, Urgency, Purpose),
+    /// Return these machines to the cloud.
+    Release(Vec<String>),
+}
+
+/// What to answer a report with.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// 200 with these commands.
+    Commands(Vec<Command>),
+    /// Late or repeated: changes nothing, gets no 200.
+    Stale,
+    /// The machine has seen a higher token than ours.
+    Outranked,
+    /// Not one of ours.
+    Stranger,
+}
+
+#[derive(Debug, Default)]
+struct Share {
+    used: Amount,
+    /// Of these, started under our own token.
+    fresh: Amount,
+    /// Counted as used until all machines are accounted for.
+    inherited: Amount,
+    want: Amount,
+    /// A smaller share that is being committed binds at once.
+    pending: Option<Amount>,
+    surplus_since: Option<Micros>,
+}
+
+/// All that a step of the region may look at besides its own state.
+pub struct View<'a> {
+    /// Records.
+    pub replica: &'a Replica,
+    /// Settings.
+    pub settings: &'a Settings,
+    /// Steady clock.
+    pub now: Micros,
+    /// Time of day.
+    pub wall: Micros,
+}
+
+/// An owned region.
+#[derive(Debug)]
+pub struct Region {
+    /// Name.
+    pub name: String,
+    /// Token of this ownership.
+    pub token: u64,
+    /// Revision of the region's record.
+    pub mark: u64,
+    settled: bool,
+    taken_at: Micros,
+    machines: BTreeMap<String, Machine>,
+    jobs: HashMap<JobId, Job>,
+    shares: HashMap<Rc<str>, Share>,
+    seq: u64,
+    tickets: HashMap<u64, Purpose>,
+    conflicts: Vec<(u64, Purpose)>,
+    guaranteed: HashSet<String>,
+    guarantee_stale: bool,
+    narrow: NarrowMemory,
+    out: Vec<Effect>,
+    /// Something changed that may let a task be placed.
+    pub dirty: bool,
+    next_tick: Micros,
+}
+
+const SLACK: Micros = SECOND;
+/// How long a type is kept clear for jobs that fit nowhere else, after the last
+/// of them was seen.
+const NARROW_MEMORY: Micros = 180 * SECOND;
+
+fn fits(free: (u64, u64, u64), s: &JobSpec) -> bool {
+    s.cpus <= free.0 && s.gpus <= free.1 && s.mem <= free.2
+}
+
+impl Region {
+    /// Takes up a region whose record was just committed as ours. The replica
+    /// must be complete up to that commit, so that every machine and every job
+    /// a former owner may have touched is in it.
+    pub fn new(name: &str, token: u64, mark: u64, v: &View<'_>) -> Self {
+        let mut r = Region {
+            name: name.to_owned(),
+            token,
+            mark,
+            settled: false,
+            taken_at: v.now,
+            machines: BTreeMap::new(),
+            jobs: HashMap::new(),
+            shares: HashMap::new(),
+            seq: 0,
+            tickets: HashMap::new(),
+            conflicts: Vec::new(),
+            guaranteed: HashSet::new(),
+            guarantee_stale: true,
+            narrow: NarrowMemory::default(),
+            out: Vec::new(),
+            dirty: true,
+            next_tick: 0,
+        };
+        for name in v.replica.machines.keys() {
+            r.on_machine(name, v);
+        }
+        let ids: Vec<&String> = v.replica.jobs.keys().collect();
+        for id in ids {
+            r.on_job(id, v, true);
+        }
+        for (team, q) in &v.replica.quotas {
+            let s = r.shares.entry(Rc::from(team.as_str())).or_default();
+            s.inherited = quota::share(Some(&q.value), name);
+        }
+        r.try_settle(v);
+        r
+    }
+
+    /// Whether all machines of a former owner are accounted for.
+    pub fn settled(&self) -> bool {
+        self.settled
+    }
+
+    /// Enters a machine's record.
+    pub fn on_machine(&mut self, name: &str, v: &View<'_>) {
+        match v.replica.machines.get(name) {
+            Some(rec) if rec.value.region == self.name => {
+                let rec = &rec.value;
+                let f = v.replica.flavors.get(&rec.flavor).map(|f| &f.value);
+                let cap = f.map_or((0, 0, 0), |f| (f.cpus, f.gpus, f.mem));
+                let boot = f.map_or(60 * SECOND, |f| f.boot);
+                let m = self
+                    .machines
+                    .entry(name.to_owned())
+                    .or_insert_with(|| Machine {
+                        rec: rec.clone(),
+                        cap,
+                        used: (0, 0, 0),
+                        standing: Standing::Expected,
+                        order: (0, 0),
+                        last_ok: v.now,
+                        heard_at: v.now,
+                        dealt_at: v.now,
+                        boot,
+                        notice: None,
+                        tasks: BTreeMap::new(),
+                        idle_since: v.now,
+                        errors: 0,
+                        images: BTreeSet::new(),
+                        closed: None,
+                        releasing: false,
+                        gone: false,
+                        opening: false,
+                    });
+                if rec.opened != m.rec.opened {
+                    self.dirty = true;
+                }
+                m.rec = rec.clone();
+                m.cap = cap;
+            }
+            _ => {
+                // Its record goes only once it is proved gone, by us.
+                if self.machines.contains_key(name) {
+                    self.clear_machine(name, v);
+                    self.machines.remove(name);
+                    self.try_settle(v);
+                }
+            }
+        }
+    }
+
+    /// Enters a job's record. `taking`: as found when the region was taken, so
+    /// its tasks may have been started by a former owner.
+    pub fn on_job(&mut self, id: &str, v: &View<'_>, taking: bool) {
+        self.guarantee_stale = true;
+        let Some(rec) = v.replica.jobs.get(id).map(|r| &r.value) else {
+            return;
+        };
+        let mine = rec.tasks_of(&self.name);
+        let key = self.jobs.get_key_value(id).map(|(k, _)| k.clone());
+        if rec.stage != Stage::Open {
+            if let Some(id) = key {
+                self.end_job(&id, v);
+            }
+            return;
+        }
+        let Some(spec) = rec.spec.as_ref() else {
+            return;
+        };
+        self.narrow.note(spec, v.replica, v.now);
+        if key.is_none() && mine.is_empty() {
+            return;
+        }
+        let id: JobId = key.unwrap_or_else(|| Rc::from(id));
+        let narrow_to = narrow_type(spec, v.replica);
+        let job = self.jobs.entry(id.clone()).or_insert_with(|| Job {
+            spec: spec.clone(),
+            mine: RangeSet::default(),
+            waiting: RangeSet::default(),
+            unsettled: RangeSet::default(),
+            moving: RangeSet::default(),
+            done: RangeSet::default(),
+            pending: RangeSet::default(),
+            out: BTreeMap::new(),
+            over: false,
+            wait_since: v.now,
+            not_before: 0,
+            failures: 0,
+            failed_on: BTreeSet::new(),
+            writing: false,
+            last_write: 0,
+            breaking: false,
+            narrow_to,
+        });
+        let mut fresh = mine.clone();
+        fresh.remove_all(&job.mine);
+        let mut lost = job.mine.clone();
+        lost.remove_all(&mine);
+        if fresh.is_empty() && lost.is_empty() {
+            return;
+        }
+        job.mine = mine;
+        let done = v.replica.done_tasks(&id);
+        job.done.add_all(&done);
+        fresh.remove_all(&job.done);
+        if taking {
+            job.unsettled.add_all(&fresh);
+        } else {
+            // Bound here after we took the region: nobody else can have
+            // started it under this region's name.
+            if job.waiting.is_empty() {
+                job.wait_since = v.now;
+            }
+            job.waiting.add_all(&fresh);
+        }
+        job.waiting.remove_all(&lost);
+        job.moving.remove_all(&lost);
+        job.unsettled.remove_all(&lost);
+        self.dirty = true;
+        if self.jobs[&id].mine.is_empty() && self.jobs[&id].out.is_empty() {
+            self.jobs.remove(&id);
+        }
+    }
+
+    fn end_job(&mut self, id: &JobId, v: &View<'_>) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.over = true;
+        job.waiting = RangeSet::default();
+        job.unsettled = RangeSet::default();
+        job.moving = RangeSet::default();
+        job.pending = RangeSet::default();
+        let out: Vec<(u32, String)> = job.out.iter().map(|(n, m)| (*n, m.clone())).collect();
+        for (n, m) in out {
+            let held = self
+                .machines
+                .get_mut(&m)
+                .and_then(|m| m.tasks.get_mut(&(id.clone(), n)));
+            match held {
+                Some(h) if h.place != Place::Assigned => h.stop = Some(0),
+                _ => self.shift(id, n, Place::Done, None, v.now),
+            }
+        }
+        if self.jobs.get(id).is_some_and(|j| j.out.is_empty()) {
+            self.jobs.remove(id);
+        }
+        self.dirty = true;
+    }
+
+    /// The only way in which a task changes its place. `at` names machine and
+    /// attempt for places on a machine.
+    fn shift(&mut self, id: &JobId, n: u32, to: Place, at: Option<(&str, u64)>, now: Micros) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let was_out = job.out.remove(&n);
+        job.waiting.take(n);
+        job.unsettled.take(n);
+        job.moving.take(n);
+        if let Some(m) = was_out.as_ref().and_then(|m| self.machines.get_mut(m)) {
+            if let Some(h) = m.tasks.remove(&(id.clone(), n)) {
+                m.used.0 -= h.need.cpus;
+                m.used.1 -= h.need.gpus;
+                m.used.2 -= h.mem;
+                if m.tasks.is_empty() {
+                    m.idle_since = now;
+                }
+                let s = self.shares.entry(h.team.clone()).or_default();
+                s.used = s.used.minus(h.need);
+                if h.attempt >> 24 == self.token {
+                    s.fresh = s.fresh.minus(h.need);
+                }
+            }
+        }
+        match to {
+            Place::Waiting => {
+                if job.over || job.done.contains(n) || !job.mine.contains(n) {
+                    return;
+                }
+                if job.waiting.is_empty() {
+                    job.wait_since = now;
+                }
+                job.waiting.insert(n);
+            }
+            Place::Unsettled => job.unsettled.insert(n),
+            Place::Moving => job.moving.insert(n),
+            Place::Done => {
+                if !job.over && job.mine.contains(n) && !job.done.contains(n) {
+                    job.done.insert(n);
+                    job.pending.insert(n);
+                }
+            }
+            Place::Assigned | Place::Sent | Place::On(_) => {
+                let Some((machine, attempt)) = at else { return };
+                let Some(m) = self.machines.get_mut(machine) else {
+                    return;
+                };
+                let need = job.spec.amount();
+                let team: Rc<str> = Rc::from(job.spec.team.as_str());
+                m.used.0 += need.cpus;
+                m.used.1 += need.gpus;
+                m.used.2 += job.spec.mem;
+                m.images.insert(job.spec.image.clone());
+                let s = self.shares.entry(team.clone()).or_default();
+                s.used = s.used.plus(need);
+                if attempt >> 24 == self.token {
+                    s.fresh = s.fresh.plus(need);
+                }
+                m.tasks.insert(
+                    (id.clone(), n),
+                    Held {
+                        attempt,
+                        place: to,
+                        need,
+                        mem: job.spec.mem,
+                        team,
+                        narrow: job.narrow_to.is_some(),
+                        stop: job.over.then_some(0),
+                        since: now,
+                    },
+                );
+                job.out.insert(n, machine.to_owned());
+            }
+        }
+        self.dirty = true;
+    }
+
+    /// A task on a machine is there no more and isn't done.
+    fn lost(&mut self, id: &JobId, n: u32, why: &str, v: &View<'_>) {
+        log::debug!("region: {id}/{n}: back to waiting, {why}");
+        self.shift(id, n, Place::Waiting, None, v.now);
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.spec.kind == Kind::Gang && !job.over && !job.out.is_empty() {
+            self.break_gang(id, v);
+        }
+        self.after_out(id);
+    }
+
+    /// A job that is over leaves once nothing of it is out; a broken gang may
+    /// then start anew.
+    fn after_out(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            if job.out.is_empty() {
+                job.breaking = false;
+                if job.over || job.mine.is_empty() {
+                    self.jobs.remove(id);
+                }
+            }
+        }
+    }
+
+    /// A gang that lost a task starts again as a whole, under another attempt,
+    /// once the last task of this one is gone.
+    fn break_gang(&mut self, id: &JobId, v: &View<'_>) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.breaking = true;
+        let out: Vec<(u32, String)> = job.out.iter().map(|(n, m)| (*n, m.clone())).collect();
+        for (n, m) in out {
+            let held = self
+                .machines
+                .get_mut(&m)
+                .and_then(|m| m.tasks.get_mut(&(id.clone(), n)));
+            match held {
+                Some(h) if h.place == Place::Assigned => {
+                    self.shift(id, n, Place::Waiting, None, v.now)
+                }
+                Some(h) => h.stop = Some(0),
+                None => {}
+            }
+        }
+        self.after_out(id);
+    }
+
+    /// Nothing is on this machine any more.
+    fn clear_machine(&mut self, name: &str, v: &View<'_>) {
+        let Some(m) = self.machines.get_mut(name) else {
+            return;
+        };
+        m.standing = Standing::Empty;
+        let held: Vec<(JobId, u32)> = m.tasks.keys().cloned().collect();
+        if !held.is_empty() {
+            log::info!(
+                "region: {name}: empty for sure, {} tasks start again",
+                held.len()
+            );
+        }
+        for (id, n) in held {
+            self.lost(&id, n, "machine gone", v);
+        }
+    }
+
+    /// Takes a report and says what to answer. The caller has checked our
+    /// authority and checks it again when the answer is written.
+    pub fn on_report(&mut self, r: &Report, v: &View<'_>) -> Verdict {
+        let Some(m) = self.machines.get_mut(&r.machine) else {
+            return Verdict::Stranger;
+        };
+        // Guards against reports that were held back, and copies: they are as
+        // old as their number says, and what they list may long be untrue.
+        if r.order <= m.order {
+            return Verdict::Stale;
+        }
+        if r.token > self.token {
+            return Verdict::Outranked;
+        }
+        m.order = r.order;
+        m.heard_at = v.now;
+        m.last_ok = v.now;
+        m.notice = r.notice.map(|n| v.now + n);
+        self.open_machine(&r.machine);
+        if r.token < self.token {
+            // Its list may be followed by what a former owner still has on the
+            // way to it; only a report that carries our token is beyond that.
+            return Verdict::Commands(Vec::new());
+        }
+        let first = self
+            .machines
+            .get_mut(&r.machine)
+            .is_some_and(|m| std::mem::replace(&mut m.standing, Standing::Live) != Standing::Live);
+        if first {
+            log::info!("region: {}: live in {}", r.machine, self.name);
+            self.dirty = true;
+        }
+        let mut commands = Vec::new();
+        let mut listed: HashSet<(JobId, u32)> = HashSet::with_capacity(r.tasks.len());
+        for t in &r.tasks {
+            self.on_reported(&r.machine, t, v, &mut listed, &mut commands);
+        }
+        let missing: Vec<(JobId, u32)> = self.machines[&r.machine]
+            .tasks
+            .iter()
+            .filter(|(k, h)| h.place != Place::Assigned && !listed.contains(*k))
+            .map(|(k, _)| k.clone())
+            .collect();
+        for (id, n) in missing {
+            self.lost(&id, n, "not on its machine", v);
+        }
+        if !self.settled {
+            self.try_settle(v);
+        }
+        if self.dirty {
+            self.place(v);
+        }
+        self.command(&r.machine, v, &mut commands);
+        Verdict::Commands(commands)
+    }
+
+    fn open_machine(&mut self, name: &str) {
+        let mark = self.mark;
+        let region = Key::Region(self.name.clone());
+        let Some(m) = self.machines.get_mut(name) else {
+            return;
+        };
+        if m.rec.opened || m.opening {
+            return;
+        }
+        m.opening = true;
+        let mut rec = m.rec.clone();
+        rec.opened = true;
+        self.out.push(Effect::Commit(
+            Txn {
+                when: vec![(region, mark)],
+                apply: vec![(Key::Machine(name.into()), Some(value(&rec)))],
+                lease: None,
+            },
+            Urgency::First,
+            Purpose::Open(name.into()),
+        ));
+    }
+
+    fn on_reported(
+        &mut self,
+        machine: &str,
+        t: &crate::workers::ReportedTask,
+        v: &View<'_>,
+        listed: &mut HashSet<(JobId, u32)>,
+        commands: &mut Vec<Command>,
+    ) {
+        let rec = v.replica.jobs.get(&*t.job).map(|r| &r.value);
+        let held = self.machines[machine]
+            .tasks
+            .get(&(t.job.clone(), t.task))
+            .map(|h| (h.attempt, h.place));
+        if let OnMachine::Ended(end) = t.stage {
+            let ours = held.is_some_and(|(a, p)| a == t.attempt && p != Place::Assigned);
+            if ours || end == End::Done {
+                self.on_ended(machine, t, end, ours, v);
+            }
+            let open = rec.is_some_and(|r| r.stage == Stage::Open);
+            let recorded = self
+                .jobs
+                .get(&t.job)
+                .is_none_or(|j| j.done.contains(t.task) && !j.pending.contains(t.task));
+            // A result is forgotten only once it is on record.
+            if end != End::Done || !open || recorded {
+                commands.push(Command::Reap(t.job.clone(), t.task, t.attempt));
+            }
+            return;
+        }
+        let key = (t.job.clone(), t.task);
+        match held {
+            Some((a, p)) if a == t.attempt => {
+                if p != Place::On(t.stage) {
+                    if let Some(m) = self.machines.get_mut(machine) {
+                        if let Some(h) = m.tasks.get_mut(&key) {
+                            h.place = Place::On(t.stage);
+                            h.since = v.now;
+                        }
+                    }
+                }
+                listed.insert(key);
+            }
+            _ => {
+                if self.adopt(machine, t, rec, v) {
+                    listed.insert(key);
+                } else {
+                    commands.push(Command::Stop(t.job.clone(), t.task, t.attempt, 0));
+                }
+            }
+        }
+    }
+
+    /// A task on a machine that we didn't start: a former owner did. Whether it
+    /// may stay.
+    fn adopt(
+        &mut self,
+        machine: &str,
+        t: &crate::workers::ReportedTask,
+        rec: Option<&JobRecord>,
+        v: &View<'_>,
+    ) -> bool {
+        let over = rec.is_none_or(|r| r.stage != Stage::Open);
+        if let (true, Some(spec)) = (over, rec.and_then(|r| r.spec.as_ref())) {
+            // Cancelled, but still there: counts against the limit until gone.
+            let narrow_to = narrow_type(spec, v.replica);
+            self.jobs.entry(t.job.clone()).or_insert_with(|| Job {
+                spec: spec.clone(),
+                mine: RangeSet::default(),
+                waiting: RangeSet::default(),
+                unsettled: RangeSet::default(),
+                moving: RangeSet::default(),
+                done: RangeSet::default(),
+                pending: RangeSet::default(),
+                out: BTreeMap::new(),
+                over: true,
+                wait_since: v.now,
+                not_before: 0,
+                failures: 0,
+                failed_on: BTreeSet::new(),
+                writing: false,
+                last_write: 0,
+                breaking: false,
+                narrow_to,
+            });
+        }
+        let Some(job) = self.jobs.get(&t.job) else {
+            log::info!("region: {}/{}: on {machine}, but not ours", t.job, t.task);
+            return false;
+        };
+        if job.out.get(&t.task).is_some_and(|m| m != machine) {
+            log::error!(
+                "region: {}/{}: on {machine} and on {} at once",
+                t.job,
+                t.task,
+                job.out[&t.task]
+            );
+            return false;
+        }
+        if !over && !job.unsettled.contains(t.task) && !job.out.contains_key(&t.task) {
+            log::info!("region: {}/{}: on {machine}, not expected", t.job, t.task);
+            if !job.waiting.contains(t.task) {
+                return false;
+            }
+        }
+        log::debug!("region: {}/{}: found on {machine}", t.job, t.task);
+        self.shift(
+            &t.job,
+            t.task,
+            Place::On(t.stage),
+            Some((machine, t.attempt)),
+            v.now,
+        );
+        true
+    }
+
+    fn on_ended(
+        &mut self,
+        machine: &str,
+        t: &crate::workers::ReportedTask,
+        end: End,
+        ours: bool,
+        v: &View<'_>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&t.job) else {
+            return;
+        };
+        let service = job.spec.kind == Kind::Service;
+        if end == End::Done && !service {
+            if job.over || job.done.contains(t.task) || !job.mine.contains(t.task) {
+                if ours {
+                    self.shift(&t.job, t.task, Place::Done, None, v.now);
+                    self.after_out(&t.job);
+                }
+                return;
+            }
+            // Only what is on no other machine can be settled here; a result
+            // is final wherever it was found.
+            let tasks: Vec<u32> = if job.spec.kind == Kind::Gang {
+                job.mine.numbers().collect()
+            } else {
+                vec![t.task]
+            };
+            job.failures = 0;
+            for n in tasks {
+                let elsewhere = self.jobs.get_mut(&t.job).and_then(|j| {
+                    let at = j.out.get(&n).filter(|m| *m != machine).cloned()?;
+                    (j.spec.kind != Kind::Gang).then_some(at)
+                });
+                if let Some(at) = elsewhere {
+                    // Done here, yet held elsewhere: it counts there until gone.
+                    log::error!("region: {}/{n}: done on {machine}, but out on {at}", t.job);
+                    if let Some(h) = self
+                        .machines
+                        .get_mut(&at)
+                        .and_then(|m| m.tasks.get_mut(&(t.job.clone(), n)))
+                    {
+                        h.stop = Some(0);
+                    }
+                    if let Some(j) = self.jobs.get_mut(&t.job) {
+                        j.done.insert(n);
+                        j.pending.insert(n);
+                    }
+                    continue;
+                }
+                self.shift(&t.job, n, Place::Done, None, v.now);
+            }
+            if let Some(m) = self.machines.get_mut(machine) {
+                m.errors = 0;
+            }
+            self.after_out(&t.job);
+            self.write_progress(&t.job, v);
+            return;
+        }
+        if !ours {
+            return;
+        }
+        log::debug!("region: {}/{}: ended on {machine}: {end:?}", t.job, t.task);
+        let wait = match end {
+            End::Error => {
+                job.failures += 1;
+                job.failed_on.insert(machine.to_owned());
+                // A job that fails on machine after machine is at fault itself.
+                if job.failed_on.len() <= 2 {
+                    if let Some(m) = self.machines.get_mut(machine) {
+                        m.errors += 1;
+                        if m.errors >= 3 && m.closed.is_none() {
+                            log::info!("region: {machine}: closed, its tasks keep failing");
+                            m.closed = Some("faulty");
+                        }
+                    }
+                }
+                (SECOND << job.failures.min(5)).min(30 * SECOND)
+            }
+            End::Unknown => 5 * SECOND,
+            End::Full => {
+                log::info!("region: {machine}: refused {}/{}: full", t.job, t.task);
+                SECOND
+            }
+            End::Busy => SECOND,
+            _ => 0,
+        };
+        job.not_before = job.not_before.max(v.now + wait);
+        self.lost(&t.job, t.task, "ended", v);
+    }
+
+    /// Adds stops and starts for a machine that was just heard from.
+    fn command(&mut self, machine: &str, v: &View<'_>, commands: &mut Vec<Command>) {
+        let mut withdrawn = Vec::new();
+        let Some(m) = self.machines.get_mut(machine) else {
+            return;
+        };
+        commands.truncate(MAX_COMMANDS);
+        for ((id, n), h) in m.tasks.iter_mut() {
+            if commands.len() >= MAX_COMMANDS {
+                break;
+            }
+            match (h.place, h.stop) {
+                (Place::Assigned, Some(_)) => withdrawn.push((id.clone(), *n)),
+                (Place::On(_) | Place::Sent, Some(grace)) => {
+                    commands.push(Command::Stop(id.clone(), *n, h.attempt, grace));
+                }
+                _ => {}
+            }
+        }
+        for ((id, n), h) in m.tasks.iter_mut() {
+            if commands.len() >= MAX_COMMANDS {
+                break;
+            }
+            if h.place == Place::Assigned && h.stop.is_none() {
+                h.place = Place::Sent;
+                h.since = v.now;
+                log::debug!(
+                    "region: {id}/{n}: start on {machine}, attempt {}",
+                    h.attempt
+                );
+                commands.push(Command::Start(id.clone(), *n, h.attempt));
+            }
+        }
+        for (id, n) in withdrawn {
+            self.shift(&id, n, Place::Waiting, None, v.now);
+        }
+    }
+
+    /// Ends the accounting once every machine that a former owner may have used
+    /// is heard from or provably empty.
+    fn try_settle(&mut self, v: &View<'_>) {
+        if self.settled {
+            return;
+        }
+        let open = self
+            .machines
+            .iter()
+            .find(|(_, m)| m.standing == Standing::Expected && m.rec.opened);
+        if let Some((name, _)) = open {
+            log::debug!("region: {}: still waits for {name}", self.name);
+            return;
+        }
+        self.settled = true;
+        self.dirty = true;
+        log::info!(
+            "region: {}: settled {:.1} s after taking, {} machines",
+            self.name,
+            to_secs(v.now - self.taken_at),
+            self.machines.len()
+        );
+        for s in self.shares.values_mut() {
+            s.inherited = Amount::default();
+        }
+        let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
+        for id in ids {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            let rest = std::mem::take(&mut job.unsettled);
+            if job.waiting.is_empty() {
+                job.wait_since = v.now;
+            }
+            job.waiting.add_all(&rest);
+            // A gang of which only a part is left can't go on.
+            if job.spec.kind == Kind::Gang && !job.out.is_empty() && !job.waiting.is_empty() {
+                self.break_gang(&id, v);
+            }
+        }
+    }
+
+    /// Regular upkeep. Returns when to look again.
+    pub fn tick(&mut self, v: &View<'_>) -> Micros {
+        if v.now >= self.next_tick {
+            self.next_tick = v.now + 250 * MILLI;
+            self.settle_conflicts(v);
+            self.watch_machines(v);
+            self.share_out(v);
+            let due: Vec<JobId> = self
+                .jobs
+                .iter()
+                .filter(|(_, j)| !j.pending.is_empty() && !j.writing)
+                .map(|(id, _)| id.clone())
+                .collect();
+            for id in due {
+                self.write_progress(&id, v);
+            }
+            if self
+                .jobs
+                .values()
+                .any(|j| !j.waiting.is_empty() && j.not_before <= v.now)
+            {
+                self.dirty = true;
+            }
+        }
+        if self.dirty {
+            self.place(v);
+        }
+        self.next_tick
+    }
+
+    /// What is to be done since the last call.
+    pub fn take_effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Notes under which ticket a commit went out.
+    pub fn sent(&mut self, ticket: u64, purpose: Purpose) {
+        self.tickets.insert(ticket, purpose);
+    }
+
+    /// Takes the end of a commit, if it was ours.
+    pub fn on_committed(&mut self, ticket: u64, outcome: &Outcome, v: &View<'_>) -> bool {
+        let Some(purpose) = self.tickets.remove(&ticket) else {
+            return false;
+        };
+        match outcome {
+            Outcome::Done(_) => self.concluded(purpose, true, v),
+            Outcome::Conflict(revision) => self.conflicts.push((*revision, purpose)),
+            Outcome::Refused => self.concluded(purpose, false, v),
+            // May yet be carried out: what it would change stays set aside.
+            Outcome::Unknown => log::error!("region: {purpose:?}: commit ended unknown"),
+        }
+        true
+    }
+
+    /// After a conflict nothing is concluded before the replica shows why.
+    fn settle_conflicts(&mut self, v: &View<'_>) {
+        let known = v.replica.revision;
+        let (ready, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.conflicts)
+            .into_iter()
+            .partition(|(r, _)| *r <= known);
+        self.conflicts = rest;
+        for (_, purpose) in ready {
+            log::debug!("region: {purpose:?}: conflict, looking again");
+            self.concluded(purpose, false, v);
+        }
+    }
+
+    fn concluded(&mut self, purpose: Purpose, done: bool, v: &View<'_>) {
+        match purpose {
+            Purpose::Progress(id, set) => {
+                if let Some(j) = self.jobs.get_mut(&id) {
+                    j.writing = false;
+                    if done {
+                        j.pending.remove_all(&set);
+                    }
+                    self.write_progress(&id, v);
+                }
+            }
+            Purpose::Finish(id) => {
+                if let Some(j) = self.jobs.get_mut(&id) {
+                    j.writing = false;
+                }
+            }
+            Purpose::Share(team) => {
+                if let Some(s) = self.shares.get_mut(team.as_str()) {
+                    s.pending = None;
+                }
+                self.dirty = true;
+            }
+            Purpose::Move(id) => {
+                if let Some(j) = self.jobs.get_mut(&id) {
+                    let back = std::mem::take(&mut j.moving);
+                    j.writing = false;
+                    if !done {
+                        j.waiting.add_all(&back);
+                    }
+                }
+                self.dirty = true;
+                self.after_out(&id);
+            }
+            Purpose::Open(name) => {
+                if let Some(m) = self.machines.get_mut(&name) {
+                    m.opening = false;
+                }
+                self.dirty = true;
+            }
+            Purpose::Forget(name) => {
+                if let Some(m) = self.machines.get_mut(&name) {
+                    m.releasing = false;
+                }
+            }
+        }
+    }
+
+    fn when(&self) -> Vec<(Key, u64)> {
+        vec![(Key::Region(self.name.clone()), self.mark)]
+    }
+
+    /// Puts finished tasks on record, and the job's end once all are.
+    fn write_progress(&mut self, id: &JobId, v: &View<'_>) {
+        let when = self.when();
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.writing || job.over || job.spec.kind == Kind::Service {
+            return;
+        }
+        let mut all = v.replica.done_tasks(id);
+        all.add_all(&job.pending);
+        let job_mark = v.replica.mark(&Key::Job(id.to_string()));
+        let complete = all.len() >= job.spec.tasks;
+        if complete {
+            let mut apply = vec![(
+                Key::Job(id.to_string()),
+                Some(value(&JobRecord {
+                    stage: Stage::Done,
+                    spec: None,
+                    parts: Vec::new(),
+                })),
+            )];
+            if let Some(chunks) = v.replica.progress.get(&**id) {
+                for (r, c) in chunks.keys().take(v.settings.txn_ops - 1) {
+                    apply.push((Key::Progress(id.to_string(), r.clone(), *c), None));
+                }
+            }
+            let mut when = when;
+            when.push((Key::Job(id.to_string()), job_mark));
+            job.writing = true;
+            let txn = Txn {
+                when,
+                apply,
+                lease: None,
+            };
+            self.out.push(Effect::Commit(
+                txn,
+                Urgency::First,
+                Purpose::Finish(id.clone()),
+            ));
+            return;
+        }
+        if job.pending.is_empty() || v.now < job.last_write + SECOND {
+            return;
+        }
+        job.last_write = v.now;
+        let mut when = when;
+        // A job that was moved or ended meanwhile is looked at again first.
+        when.push((Key::Job(id.to_string()), job_mark));
+        let mut apply = Vec::new();
+        let mut written = RangeSet::default();
+        let mut chunk_done: Option<u32> = None;
+        let most = (v.settings.txn_ops - 1).min(8);
+        for (s, e) in job.pending.iter() {
+            for chunk in s / CHUNK..=(e - 1) / CHUNK {
+                let (a, b) = (s.max(chunk * CHUNK), e.min((chunk + 1) * CHUNK));
+                if chunk_done == Some(chunk) {
+                    written.add(a, b);
+                    continue;
+                }
+                if apply.len() >= most {
+                    break;
+                }
+                chunk_done = Some(chunk);
+                written.add(a, b);
+                let key = Key::Progress(id.to_string(), self.name.clone(), chunk);
+                let mut set = RangeSet::default();
+                if let Some(old) = v
+                    .replica
+                    .progress
+                    .get(&**id)
+                    .and_then(|p| p.get(&(self.name.clone(), chunk)))
+                {
+                    read_bitmap(&old.value, chunk, &mut set);
+                }
+                set.add_all(&job.pending);
+                when.push((key.clone(), v.replica.mark(&key)));
+                apply.push((key, Some(value(&bitmap(&set, chunk)))));
+            }
+        }
+        job.writing = true;
+        let txn = Txn {
+            when,
+            apply,
+            lease: None,
+        };
+        self.out.push(Effect::Commit(
+            txn,
+            Urgency::Later,
+            Purpose::Progress(id.clone(), written),
+        ));
+    }
+
+    /// What the region may use for a team just now.
+    fn headroom(&self, team: &str, v: &View<'_>) -> Amount {
+        let rec = v.replica.quotas.get(team).map(|q| &q.value);
+        let mut share = quota::share(rec, &self.name);
+        match self.shares.get(team) {
+            None => share,
+            Some(s) => {
+                if let Some(p) = s.pending {
+                    share = share.min(p);
+                }
+                if self.settled {
+                    share.minus(s.used)
+                } else {
+                    share.minus(s.inherited).minus(s.fresh)
+                }
+            }
+        }
+    }
+
+    /// Takes what waiting tasks need of teams' limits, gives back what is spare.
+    fn share_out(&mut self, v: &View<'_>) {
+        let teams: Vec<Rc<str>> = self.shares.keys().cloned().collect();
+        for team in teams {
+            let Some(limit) = v.settings.team(&team).map(|t| t.limit) else {
+                continue;
+            };
+            let rec = v.replica.quotas.get(&*team);
+            let have = quota::share(rec.map(|r| &r.value), &self.name);
+            let settled = self.settled;
+            let Some(s) = self.shares.get_mut(&team) else {
+                continue;
+            };
+            if s.pending.is_some() {
+                continue;
+            }
+            let used = if settled {
+                s.used
+            } else {
+                s.inherited.plus(s.fresh)
+            };
+            let target = used.plus(s.want);
+            let up = target.cpus > have.cpus || target.gpus > have.gpus;
+            if !up {
+                let spare = target != have;
+                let since = *s.surplus_since.get_or_insert(v.now);
+                if !spare || !settled {
+                    s.surplus_since = None;
+                    continue;
+                }
+                if v.now < since + 2 * SECOND {
+                    continue;
+                }
+            }
+            s.surplus_since = None;
+            let Some((q, new)) = quota::propose(rec.map(|r| &r.value), &self.name, limit, target)
+            else {
+                continue;
+            };
+            // Never below what is in use, whatever the limit says now.
+            if !used.within(new) {
+                continue;
+            }
+            s.pending = Some(new);
+            let key = Key::Quota(team.to_string());
+            let mut when = vec![(Key::Region(self.name.clone()), self.mark)];
+            when.push((key.clone(), rec.map_or(0, |r| r.mark)));
+            let txn = Txn {
+                when,
+                apply: vec![(key, Some(value(&q)))],
+                lease: None,
+            };
+            self.out.push(Effect::Commit(
+                txn,
+                Urgency::First,
+                Purpose::Share(team.to_string()),
+            ));
+        }
+    }
+
+    /// Finds machines that are silent, idle or in the way.
+    fn watch_machines(&mut self, v: &View<'_>) {
+        let mut clear = Vec::new();
+        let mut release = Vec::new();
+        let waiting = self.jobs.values().any(|j| !j.waiting.is_empty());
+        for (name, m) in self.machines.iter_mut() {
+            if m.gone || m.releasing {
+                continue;
+            }
+            // Nobody else can have answered it since we took the region, and
+            // what it was last told by anyone is older than its lease.
+            let silent_for = v.now.saturating_sub(m.last_ok);
+            if m.standing != Standing::Empty
+                && silent_for > stretch(v.settings.lease) + SLACK
+                && (m.rec.opened || m.standing == Standing::Live)
+            {
+                log::info!("region: {name}: silent for {:.0} s", to_secs(silent_for));
+                clear.push(name.clone());
+            }
+            if m.standing == Standing::Empty && silent_for > stretch(v.settings.lease) + 5 * SECOND
+            {
+                m.closed = Some("silent");
+                release.push(name.clone());
+                m.releasing = true;
+                continue;
+            }
+            if m.standing == Standing::Expected
+                && !m.rec.opened
+                && v.now > m.dealt_at + 3 * m.boot + 30 * SECOND
+            {
+                m.closed = Some("never came up");
+                release.push(name.clone());
+                m.releasing = true;
+                continue;
+            }
+            if m.standing != Standing::Live || !m.tasks.is_empty() {
+                continue;
+            }
+            let age = v.now - m.dealt_at;
+            let idle = v.now.saturating_sub(m.idle_since.max(m.dealt_at));
+            if m.closed.is_some()
+                || (!waiting && idle > v.settings.operator.idle && age > 55 * SECOND)
+            {
+                let why = *m.closed.get_or_insert("idle");
+                log::info!("region: {name}: returned, {why}");
+                release.push(name.clone());
+                m.releasing = true;
+            }
+        }
+        for name in clear {
+            self.clear_machine(&name, v);
+        }
+        if !release.is_empty() {
+            self.out.push(Effect::Release(release));
+        }
+        if !self.settled {
+            self.try_settle(v);
+        }
+    }
+
+    /// The cloud has answered a return: `gone` if the machines are surely gone.
+    pub fn on_released(&mut self, names: &[String], gone: bool, v: &View<'_>) {
+        for name in names {
+            if !self.machines.contains_key(name) {
+                continue;
+            }
+            if gone {
+                self.clear_machine(name, v);
+                if let Some(m) = self.machines.get_mut(name) {
+                    m.gone = true;
+                    m.closed.get_or_insert("gone");
+                }
+                let txn = Txn {
+                    when: self.when(),
+                    apply: vec![(Key::Machine(name.clone()), None)],
+                    lease: None,
+                };
+                self.out.push(Effect::Commit(
+                    txn,
+                    Urgency::Later,
+                    Purpose::Forget(name.clone()),
+                ));
+            } else if let Some(m) = self.machines.get_mut(name) {
+                // Sent but unanswered: it may be carried out late, so the
+                // machine stays closed and is asked for again.
+                m.releasing = false;
+            }
+        }
+        self.try_settle(v);
+    }
+
+    /// The leader asks for waiting tasks to be given away. Only tasks that are
+    /// on no machine move; a job whose tasks must keep together moves whole.
+    pub fn give(&mut self, job: &str, to: &str, count: u32, v: &View<'_>) {
+        let when = self.when();
+        let Some(id) = self.jobs.get_key_value(job).map(|(k, _)| k.clone()) else {
+            return;
+        };
+        let Some(rec) = v.replica.jobs.get(job) else {
+            return;
+        };
+        let me = self.name.clone();
+        let Some(j) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if j.over || j.writing || to == me || j.waiting.is_empty() {
+            return;
+        }
+        let whole = j.spec.kind == Kind::Gang || j.spec.one_zone || j.spec.spread;
+        let set = if whole {
+            if j.waiting.len() != j.spec.tasks {
+                return;
+            }
+            j.waiting.clone()
+        } else {
+            j.waiting.last_n(count)
+        };
+        let mut owners: Vec<Part> = Vec::new();
+        for Part(a, b, r) in &rec.value.parts {
+            let mut keep = RangeSet::from_range(*a, *b);
+            if *r == me {
+                keep.remove_all(&set);
+            }
+            owners.extend(keep.iter().map(|(s, e)| Part(s, e, r.clone())));
+        }
+        owners.extend(set.iter().map(|(s, e)| Part(s, e, to.to_owned())));
+        owners.sort_by_key(|p| p.0);
+        let mut parts: Vec<Part> = Vec::new();
+        for p in owners {
+            match parts.last_mut() {
+                Some(l) if l.1 == p.0 && l.2 == p.2 => l.1 = p.1,
+                _ => parts.push(p),
+            }
+        }
+        if parts.len() > 24 {
+            return; // the record must stay small
+        }
+        log::debug!("region: {job}: {} tasks given to {to}", set.len());
+        j.waiting.remove_all(&set);
+        j.moving = set;
+        j.writing = true;
+        let mut when = when;
+        let key = Key::Job(job.to_owned());
+        when.push((key.clone(), rec.mark));
+        let txn = Txn {
+            when,
+            apply: vec![(
+                key,
+                Some(value(&JobRecord {
+                    parts,
+                    ..rec.value.clone()
+                })),
+            )],
+            lease: None,
+        };
+        self.out
+            .push(Effect::Commit(txn, Urgency::First, Purpose::Move(id)));
+    }
+
+    /// The order in which waiting jobs are served: those within their team's
+    /// guarantee, then rank, then the operators' precedence, then deadline or
+    /// time of submission.
+    fn order_key(
+        &self,
+        id: &str,
+        s: &JobSpec,
+        v: &View<'_>,
+    ) -> (bool, std::cmp::Reverse<crate::model::Rank>, usize, u64) {
+        let precedence = v
+            .settings
+            .operator
+            .precedence
+            .iter()
+            .position(|c| *c == s.class)
+            .unwrap_or(usize::MAX);
+        (
+            !self.guaranteed.contains(id),
+            std::cmp::Reverse(s.rank),
+            precedence,
+            s.submitted + s.deadline.unwrap_or(0),
+        )
+    }
+
+    /// Sends waiting tasks to machines: each to the fitting one that holds the
+    /// fewest tasks.
+    pub fn place(&mut self, v: &View<'_>) {
+        self.dirty = false;
+        if self.guarantee_stale {
+            self.guaranteed = quota::within_guarantee(v.replica, v.settings);
+            self.guarantee_stale = false;
+        }
+        for s in self.shares.values_mut() {
+            s.want = Amount::default();
+        }
+        let mut order: Vec<_> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| !j.waiting.is_empty() && !j.over && j.not_before <= v.now)
+            .map(|(id, j)| (self.order_key(id, &j.spec, v), id.clone()))
+            .collect();
+        order.sort();
+        for (_, id) in order {
+            if self.jobs[&id].spec.kind == Kind::Gang {
+                self.place_gang(&id, v);
+            } else {
+                self.place_tasks(&id, v);
+            }
+        }
+        // What was found wanting is asked for at once.
+        if self.shares.values().any(|s| s.want != Amount::default()) {
+            self.share_out(v);
+        }
+        self.dirty = false;
+    }
+
+    fn best_machine(
+        &self,
+        job: &Job,
+        zone: Option<&str>,
+        extra: &HashMap<String, (u64, u64, u64)>,
+        full_zones: &HashSet<String>,
+        v: &View<'_>,
+    ) -> Option<String> {
+        let s = &job.spec;
+        type Order = (bool, usize, bool, bool);
+        let mut best: Option<(Order, &String)> = None;
+        for (name, m) in &self.machines {
+            if !m.open() || m.notice.is_some() {
+                continue;
+            }
+            let mut free = m.free();
+            if let Some(x) = extra.get(name) {
+                free = (
+                    free.0.saturating_sub(x.0),
+                    free.1.saturating_sub(x.1),
+                    free.2.saturating_sub(x.2),
+                );
+            }
+            if !fits(free, s)
+                || (m.rec.spot && !s.spot)
+                || s.zone.as_ref().is_some_and(|z| *z != m.rec.zone)
+                || zone.is_some_and(|z| z != m.rec.zone)
+                || full_zones.contains(&m.rec.zone)
+                || s.types.as_ref().is_some_and(|t| !t.contains(&m.rec.flavor))
+            {
+                continue;
+            }
+            // Kept clear for jobs that fit on no other type.
+            if job.narrow_to.is_none() && !m.rec.spot {
+                if let Some(n) = self.narrow.kept_for(&m.rec.flavor, v.now) {
+                    let wide = m
+                        .tasks
+                        .values()
+                        .filter(|h| !h.narrow)
+                        .fold((0, 0, 0), |a, h| {
+                            (a.0 + h.need.cpus, a.1 + h.need.gpus, a.2 + h.mem)
+                        });
+                    if wide.0 + s.cpus + n.0 > m.cap.0
+                        || wide.1 + s.gpus + n.1 > m.cap.1
+                        || wide.2 + s.mem + n.2 > m.cap.2
+                    {
+                        continue;
+                    }
+                }
+            }
+            let held = m.tasks.len() + usize::from(extra.contains_key(name));
+            let key = (
+                job.failed_on.contains(name),
+                held,
+                !m.images.contains(&s.image),
+                !m.rec.spot && s.spot,
+            );
+            if best.as_ref().is_none_or(|(k, _)| key < *k) {
+                best = Some((key, name));
+            }
+        }
+        best.map(|(_, n)| n.clone())
+    }
+
+    fn place_tasks(&mut self, id: &JobId, v: &View<'_>) {
+        let none = HashMap::new();
+        loop {
+            let job = &self.jobs[id];
+            let Some(n) = job.waiting.first() else { return };
+            let spec = job.spec.clone();
+            // Where the job's other tasks are at this moment binds the next.
+            let mut zones: BTreeMap<String, u32> = BTreeMap::new();
+            if spec.one_zone || spec.spread {
+                if !job.unsettled.is_empty() {
+                    return;
+                }
+                for m in job.out.values() {
+                    if let Some(m) = self.machines.get(m) {
+                        *zones.entry(m.rec.zone.clone()).or_default() += 1;
+                    }
+                }
+            }
+            let zone = if spec.one_zone {
+                zones.keys().next().cloned()
+            } else {
+                None
+            };
+            let half = spec.tasks.div_ceil(2);
+            let full: HashSet<String> = if spec.spread {
+                zones
+                    .iter()
+                    .filter(|(_, c)| **c >= half)
+                    .map(|(z, _)| z.clone())
+                    .collect()
+            } else {
+                HashSet::new()
+            };
+            let Some(name) = self.best_machine(job, zone.as_deref(), &none, &full, v) else {
+                return;
+            };
+            let need = spec.amount();
+            if !need.within(self.headroom(&spec.team, v)) {
+                let waiting = job.waiting.len() as u64;
+                let room: u64 = self
+                    .machines
+                    .values()
+                    .filter(|m| m.open())
+                    .map(|m| {
+                        let f = m.free();
+                        f.0.checked_div(spec.cpus).unwrap_or(waiting)
+                    })
+                    .sum();
+                let s = self.shares.entry(Rc::from(spec.team.as_str())).or_default();
+                s.want = s.want.plus(need.times(waiting.min(room.max(1))));
+                return;
+            }
+            let attempt = self.next_attempt();
+            self.shift(id, n, Place::Assigned, Some((&name, attempt)), v.now);
+        }
+    }
+
+    fn next_attempt(&mut self) -> u64 {
+        self.seq += 1;
+        (self.token << 24) | (self.seq & 0xff_ffff)
+    }
+
+    fn place_gang(&mut self, id: &JobId, v: &View<'_>) {
+        let job = &self.jobs[id];
+        let spec = job.spec.clone();
+        if job.breaking || !job.out.is_empty() || job.waiting.len() != spec.tasks {
+            return;
+        }
+        let need = spec.amount().times(spec.tasks as u64);
+        let zones: Vec<Option<String>> = if spec.one_zone {
+            let z: BTreeSet<String> = self.machines.values().map(|m| m.rec.zone.clone()).collect();
+            z.into_iter().map(Some).collect()
+        } else {
+            vec![None]
+        };
+        let half = spec.tasks.div_ceil(2);
+        for zone in zones {
+            let mut extra: HashMap<String, (u64, u64, u64)> = HashMap::new();
+            let mut per_zone: BTreeMap<String, u32> = BTreeMap::new();
+            let mut full = HashSet::new();
+            let mut picks = Vec::new();
+            for n in job.waiting.numbers() {
+                let Some(name) = self.best_machine(job, zone.as_deref(), &extra, &full, v) else {
+                    break;
+                };
+                let e = extra.entry(name.clone()).or_default();
+                *e = (e.0 + spec.cpus, e.1 + spec.gpus, e.2 + spec.mem);
+                if spec.spread {
+                    let z = self.machines[&name].rec.zone.clone();
+                    let c = per_zone.entry(z.clone()).or_default();
+                    *c += 1;
+                    if *c >= half {
+                        full.insert(z);
+                    }
+                }
+                picks.push((n, name));
+            }
+            if picks.len() as u32 != spec.tasks {
+                continue;
+            }
+            if !need.within(self.headroom(&spec.team, v)) {
+                let s = self.shares.entry(Rc::from(spec.team.as_str())).or_default();
+                s.want = s.want.plus(need);
+                return;
+            }
+            let attempt = self.next_attempt();
+            for (n, name) in picks {
+                self.shift(id, n, Place::Assigned, Some((&name, attempt)), v.now);
+            }
+            return;
+        }
+    }
+
+    /// The region as told to the other controllers.
+    pub fn report(&self, v: &View<'_>) -> RegionReport {
+        let mut waits: Vec<_> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| !j.waiting.is_empty() && !j.writing && j.not_before <= v.now)
+            .map(|(id, j)| {
+                (
+                    self.order_key(id, &j.spec, v),
+                    WaitLine {
+                        job: id.to_string(),
+                        waiting: j.waiting.len(),
+                        since_us: v.now.saturating_sub(j.wait_since),
+                    },
+                )
+            })
+            .collect();
+        waits.sort_by_key(|a| a.0);
+        RegionReport {
+            region: self.name.clone(),
+            token: self.token,
+            settled: self.settled,
+            rooms: self
+                .machines
+                .iter()
+                .filter(|(_, m)| m.closed.is_none() && m.notice.is_none())
+                .filter(|(_, m)| m.standing != Standing::Empty)
+                .map(|(name, m)| RoomLine {
+                    machine: name.clone(),
+                    free: m.free(),
+                    tasks: m.tasks.len() as u32,
+                    live: m.open(),
+                })
+                .collect(),
+            waits: waits.into_iter().take(200).map(|w| w.1).collect(),
+            counts: self
+                .jobs
+                .iter()
+                .filter(|(_, j)| !j.out.is_empty())
+                .take(500)
+                .map(|(id, j)| CountLine {
+                    job: id.to_string(),
+                    running: j.out.len() as u32,
+                })
+                .collect(),
+        }
+    }
+
+    /// Tasks of a job that are on machines here.
+    pub fn running(&self, job: &str) -> u32 {
+        self.jobs.get(job).map_or(0, |j| j.out.len() as u32)
+    }
+}
+
+/// Which machine types are kept clear, and for how much: those that are the only
+/// ones on which some recent job fits. Jobs that fit elsewhere may have the rest.
+#[derive(Debug, Default)]
+pub struct NarrowMemory {
+    types: HashMap<String, ((u64, u64, u64), Micros)>,
+}
+
+impl NarrowMemory {
+    /// Remembers a job, if it is one that fits on one type only.
+    pub fn note(&mut self, spec: &JobSpec, r: &Replica, now: Micros) {
+        if let Some(f) = narrow_type(spec, r) {
+            let e = self.types.entry(f).or_insert(((0, 0, 0), now));
+            e.0 .0 = e.0 .0.max(spec.cpus);
+            e.0 .1 = e.0 .1.max(spec.gpus);
+            e.0 .2 = e.0 .2.max(spec.mem);
+            e.1 = now;
+        }
+    }
+
+    /// What is kept clear on machines of a type.
+    pub fn kept_for(&self, flavor: &str, now: Micros) -> Option<(u64, u64, u64)> {
+        self.types
+            .get(flavor)
+            .filter(|(_, seen)| now < seen + NARROW_MEMORY)
+            .map(|(n, _)| *n)
+    }
+}
+
+/// The one type on which a job fits, if there is just one.
+pub fn narrow_type(s: &JobSpec, r: &Replica) -> Option<String> {
+    let mut fit = r
+        .flavors
+        .values()
+        .map(|f| &f.value)
+        .filter(|f: &&Flavor| s.fits_type(f));
+    match (fit.next(), fit.next()) {
+        (Some(f), None) if r.flavors.len() > 1 => Some(f.name.clone()),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/registry/records.rs
@@ -0,0 +1,244 @@
+//! The records that the state service keeps for us, and their keys.
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::model::{JobSpec, RangeSet};
+
+/// Every key of ours begins with this; one watch over it sees all.
+pub const PREFIX: &str = "st/";
+
+/// Task numbers of one progress record.
+pub const CHUNK: u32 = 4096;
+
+/// The keys, each with the record it names.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Key {
+    /// Who leads.
+    Leader,
+    /// The last token handed out.
+    Token,
+    /// Who owns a region.
+    Region(String),
+    /// A machine and the region it is dealt to.
+    Machine(String),
+    /// A job.
+    Job(String),
+    /// Finished tasks of a job, as one region found them.
+    Progress(String, String, u32),
+    /// How a team's limit is shared out.
+    Quota(String),
+    /// A machine type.
+    Flavor(String),
+}
+
+impl Key {
+    /// The key as text.
+    pub fn text(&self) -> String {
+        match self {
+            Key::Leader => format!("{PREFIX}leader"),
+            Key::Token => format!("{PREFIX}token"),
+            Key::Region(r) => format!("{PREFIX}region/{r}"),
+            Key::Machine(m) => format!("{PREFIX}machine/{m}"),
+            Key::Job(j) => format!("{PREFIX}job/{j}"),
+            Key::Progress(j, r, c) => format!("{PREFIX}progress/{j}/{r}/{c}"),
+            Key::Quota(t) => format!("{PREFIX}quota/{t}"),
+            Key::Flavor(f) => format!("{PREFIX}flavor/{f}"),
+        }
+    }
+
+    /// Reads a key; `None` for one that is not ours.
+    pub fn parse(s: &str) -> Option<Key> {
+        let s = s.strip_prefix(PREFIX)?;
+        let (kind, rest) = s.split_once('/').unwrap_or((s, ""));
+        Some(match kind {
+            "leader" => Key::Leader,
+            "token" => Key::Token,
+            "region" => Key::Region(rest.into()),
+            "machine" => Key::Machine(rest.into()),
+            "job" => Key::Job(rest.into()),
+            "quota" => Key::Quota(rest.into()),
+            "flavor" => Key::Flavor(rest.into()),
+            "progress" => {
+                let mut p = rest.splitn(3, '/');
+                Key::Progress(p.next()?.into(), p.next()?.into(), p.next()?.parse().ok()?)
+            }
+            _ => return None,
+        })
+    }
+}
+
+/// `leader`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    /// Host name.
+    pub holder: String,
+    /// Which run of its process.
+    pub run: u64,
+}
+
+/// `region/R`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RegionRecord {
+    /// Host name.
+    pub owner: String,
+    /// Which run of its process.
+    pub run: u64,
+    /// The token with which it commands.
+    pub token: u64,
+}
+
+/// `machine/NAME`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MachineRecord {
+    /// Region, for life.
+    pub region: String,
+    /// Type.
+    pub flavor: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot or ordinary.
+    pub spot: bool,
+    /// Set by the owner before it sends the first start: a machine without it
+    /// has never been given a task by anyone.
+    #[serde(default)]
+    pub opened: bool,
+}
+
+/// Where a job stands, for good or for now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Stage {
+    /// Not over.
+    #[serde(rename = "o")]
+    Open,
+    /// All tasks done.
+    #[serde(rename = "d")]
+    Done,
+    /// Its user asked to cancel it.
+    #[serde(rename = "c")]
+    Cancelled,
+}
+
+/// Tasks bound to a region.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part(
+    /// First task.
+    pub u32,
+    /// One past the last.
+    pub u32,
+    /// Region.
+    pub String,
+);
+
+/// `job/ID`. Once over, what nobody needs any more is left out.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// Stage.
+    #[serde(rename = "st")]
+    pub stage: Stage,
+    /// The submission; kept for cancelled jobs too, whose tasks may still
+    /// count against the team's limit, dropped for done ones.
+    #[serde(rename = "j", default, skip_serializing_if = "Option::is_none")]
+    pub spec: Option<std::rc::Rc<JobSpec>>,
+    /// Which regions hold which tasks; empty: not bound yet.
+    #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
+    pub parts: Vec<Part>,
+}
+
+impl JobRecord {
+    /// The tasks bound to a region.
+    pub fn tasks_of(&self, region: &str) -> RangeSet {
+        let mut s = RangeSet::default();
+        for Part(a, b, r) in &self.parts {
+            if r == region {
+                s.add(*a, *b);
+            }
+        }
+        s
+    }
+
+    /// The submission of a job that is not over.
+    pub fn open(&self) -> Option<&std::rc::Rc<JobSpec>> {
+        if self.stage == Stage::Open {
+            self.spec.as_ref()
+        } else {
+            None
+        }
+    }
+}
+
+/// `quota/TEAM`: each region's share of the limit, as millionths of processors
+/// and cards.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct QuotaRecord(pub std::collections::BTreeMap<String, (u64, u64)>);
+
+/// Finished tasks of one chunk as a bitmap in hexadecimal; short ones stay short.
+pub fn bitmap(done: &RangeSet, chunk: u32) -> String {
+    let base = chunk * CHUNK;
+    let mut nibbles: Vec<u8> = Vec::new();
+    for (s, e) in done.iter() {
+        for n in s.max(base)..e.min(base + CHUNK) {
+            let i = (n - base) as usize;
+            if nibbles.len() <= i / 4 {
+                nibbles.resize(i / 4 + 1, 0);
+            }
+            nibbles[i / 4] |= 1 << (i % 4);
+        }
+    }
+    nibbles
+        .into_iter()
+        .filter_map(|n| char::from_digit(n as u32, 16))
+        .collect()
+}
+
+/// Reads what [`bitmap`] wrote, adding to `into`; odd characters count as empty.
+pub fn read_bitmap(text: &str, chunk: u32, into: &mut RangeSet) {
+    let base = chunk.saturating_mul(CHUNK);
+    for (i, c) in text.chars().take(CHUNK as usize / 4).enumerate() {
+        let bits = c.to_digit(16).unwrap_or(0);
+        for b in 0..4 {
+            if bits & (1 << b) != 0 {
+                into.insert(base + i as u32 * 4 + b);
+            }
+        }
+    }
+}
+
+/// A record as a value for the state service.
+pub fn value<T: Serialize>(record: &T) -> Value {
+    // Our records are plain maps of text and numbers: this can't fail.
+    serde_json::to_value(record).unwrap_or(Value::Null)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn keys_and_bitmaps_survive() {
+        for k in [
+            Key::Leader,
+            Key::Token,
+            Key::Region("a".into()),
+            Key::Machine("m-1".into()),
+            Key::Job("req-1".into()),
+            Key::Progress("req-1".into(), "t-0".into(), 7),
+            Key::Quota("x".into()),
+            Key::Flavor("y".into()),
+        ] {
+            assert_eq!(Key::parse(&k.text()), Some(k));
+        }
+        for bad in ["x/leader", "st/else", "st/progress/a/b"] {
+            assert_eq!(Key::parse(bad), None);
+        }
+        let mut set = RangeSet::from_range(5, 9);
+        set.add(CHUNK - 1, CHUNK + 3);
+        let mut back = RangeSet::default();
+        for c in 0..2 {
+            let text = bitmap(&set, c);
+            assert!(text.len() <= CHUNK as usize / 4);
+            read_bitmap(&text, c, &mut back);
+        }
+        assert_eq!(back, set);
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,594 @@
+//! What the daemon is told at the start: the platform's JSON file and, if the
+//! operators have one, their INI.
+
+use std::net::{SocketAddr, SocketAddrV4};
+use std::path::Path;
+
+use serde::Deserialize;
+use thiserror::Error;
+
+use crate::units::{self, Micros};
+
+/// What is wrong with the settings; each names the file and the field.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[error("{file}: {cause}")]
+    Unreadable {
+        /// Path as given.
+        file: String,
+        /// What the system said.
+        cause: std::io::Error,
+    },
+    /// The file is not of the expected form.
+    #[error("{file}: {cause}")]
+    Form {
+        /// Path as given.
+        file: String,
+        /// What the parser said.
+        cause: String,
+    },
+    /// A field has a value that can't be used.
+    #[error("{file}: {field}: {cause}")]
+    Field {
+        /// Path as given.
+        file: String,
+        /// Dotted name of the field.
+        field: String,
+        /// What is wrong with it.
+        cause: String,
+    },
+}
+
+/// The platform's file, by its wire names.
+mod wire {
+    use super::Deserialize;
+
+    #[derive(Deserialize)]
+    pub struct File {
+        pub host_name: String,
+        pub area: String,
+        pub front: String,
+        pub mesh_addr: String,
+        #[serde(default)]
+        pub others: Vec<Other>,
+        pub outside: Outside,
+        pub facts: Facts,
+    }
+
+    #[derive(Deserialize)]
+    pub struct Other {
+        pub host_name: String,
+        pub area: String,
+        pub addr: String,
+    }
+
+    #[derive(Deserialize)]
+    pub struct Outside {
+        pub cloud: String,
+        pub state: String,
+    }
+
+    #[derive(Deserialize)]
+    pub struct Facts {
+        #[serde(default)]
+        pub zones: Vec<String>,
+        pub teams: Vec<Team>,
+        #[serde(default)]
+        pub objectives: Vec<Objective>,
+        pub workers: Workers,
+        pub state: State,
+        pub cloud: Cloud,
+        pub quota: Quota,
+        #[serde(default)]
+        pub clock_off_ms: f64,
+    }
+
+    #[derive(Deserialize)]
+    pub struct Team {
+        pub name: String,
+        #[serde(default)]
+        pub cpus: f64,
+        #[serde(default)]
+        pub cpus_max: f64,
+        #[serde(default)]
+        pub gpus: f64,
+        #[serde(default)]
+        pub gpus_max: f64,
+    }
+
+    #[derive(Deserialize)]
+    pub struct Objective {
+        pub kind: String,
+        pub class: Option<String>,
+        pub within_s: Option<f64>,
+        pub share: Option<f64>,
+    }
+
+    #[derive(Deserialize)]
+    pub struct Workers {
+        pub report_s: f64,
+        pub lease_s: f64,
+        pub gang_wait_s: f64,
+        pub gang_peer_s: f64,
+        pub cancel_s: f64,
+    }
+
+    #[derive(Deserialize)]
+    pub struct State {
+        pub rps: f64,
+        pub write_rps: f64,
+        pub value_kb: f64,
+        pub txn_ops: usize,
+    }
+
+    #[derive(Deserialize)]
+    pub struct Cloud {
+        pub rps: f64,
+        pub list_lag_s: f64,
+    }
+
+    #[derive(Deserialize)]
+    pub struct Quota {
+        #[serde(default)]
+        pub ram_mb: f64,
+        pub fd_limit: usize,
+    }
+}
+
+/// Another controller.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    /// Host name, which is also the name of its own region.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its mesh address.
+    pub addr: SocketAddr,
+}
+
+/// A team's guarantee and limit, in millionths.
+#[derive(Debug, Clone)]
+pub struct Team {
+    /// Name as jobs give it.
+    pub name: String,
+    /// Guaranteed processors and cards.
+    pub guarantee: Amount,
+    /// Most processors and cards at any time.
+    pub limit: Amount,
+}
+
+/// Processors and cards together, in millionths.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Amount {
+    /// Processors.
+    pub cpus: u64,
+    /// Cards.
+    pub gpus: u64,
+}
+
+impl Amount {
+    /// Sum, never wrapping.
+    pub fn plus(self, o: Amount) -> Amount {
+        Amount {
+            cpus: self.cpus.saturating_add(o.cpus),
+            gpus: self.gpus.saturating_add(o.gpus),
+        }
+    }
+
+    /// Difference, never below zero.
+    pub fn minus(self, o: Amount) -> Amount {
+        Amount {
+            cpus: self.cpus.saturating_sub(o.cpus),
+            gpus: self.gpus.saturating_sub(o.gpus),
+        }
+    }
+
+    /// `n` times this.
+    pub fn times(self, n: u64) -> Amount {
+        Amount {
+            cpus: self.cpus.saturating_mul(n),
+            gpus: self.gpus.saturating_mul(n),
+        }
+    }
+
+    /// Whether this fits into `o`.
+    pub fn within(self, o: Amount) -> bool {
+        self.cpus <= o.cpus && self.gpus <= o.gpus
+    }
+
+    /// The smaller of each.
+    pub fn min(self, o: Amount) -> Amount {
+        Amount {
+            cpus: self.cpus.min(o.cpus),
+            gpus: self.gpus.min(o.gpus),
+        }
+    }
+}
+
+/// What the users expect of a class of jobs.
+#[derive(Debug, Clone)]
+pub struct Objective {
+    /// Which figure: wait, finished, deadline, guarantee and others.
+    pub kind: String,
+    /// Class of jobs, if it is about one.
+    pub class: Option<String>,
+    /// Time bound.
+    pub within: Option<Micros>,
+    /// Share that should make it.
+    pub share: f64,
+}
+
+/// The operators' own settings, with defaults that suit most sites.
+#[derive(Debug, Clone)]
+pub struct Operator {
+    /// Classes in the order in which they go first, after guarantee and rank.
+    pub precedence: Vec<String>,
+    /// How long a machine may stand idle before it is returned.
+    pub idle: Micros,
+    /// How soon waiting work should be under way: beyond it machines are rented.
+    pub horizon: Micros,
+}
+
+impl Default for Operator {
+    fn default() -> Self {
+        Operator {
+            precedence: Vec::new(),
+            idle: 20 * units::SECOND,
+            horizon: 20 * units::SECOND,
+        }
+    }
+}
+
+/// Everything the daemon is told.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// This controller's name, and its region's.
+    pub name: String,
+    /// This controller's zone.
+    pub zone: String,
+    /// Where users, workers and health checks come in.
+    pub front: SocketAddr,
+    /// Where the other controllers come in.
+    pub mesh: SocketAddr,
+    /// The other controllers.
+    pub peers: Vec<Peer>,
+    /// The cloud.
+    pub cloud: SocketAddr,
+    /// The state service.
+    pub store: SocketAddr,
+    /// Zones of the platform.
+    pub zones: Vec<String>,
+    /// Teams in the order given.
+    pub teams: Vec<Team>,
+    /// Aims.
+    pub objectives: Vec<Objective>,
+    /// Workers' report interval.
+    pub report: Micros,
+    /// Workers' lease.
+    pub lease: Micros,
+    /// How long a gang's tasks wait for each other.
+    pub gang_wait: Micros,
+    /// How soon a gang's tasks notice a lost one.
+    pub gang_peer: Micros,
+    /// How soon a cancelled job's tasks must be gone.
+    pub cancel: Micros,
+    /// State service: requests a second, over all controllers.
+    pub store_rps: f64,
+    /// State service: changes a second, over all controllers.
+    pub store_writes: f64,
+    /// State service: most bytes of a value.
+    pub value_bytes: usize,
+    /// State service: most changes of a transaction.
+    pub txn_ops: usize,
+    /// Cloud: calls a second.
+    pub cloud_rps: f64,
+    /// Cloud: how late the list of machines may usually be.
+    pub list_lag: Micros,
+    /// Most sockets.
+    pub sockets: usize,
+    /// Memory in MB; 0: not said.
+    pub memory_mb: f64,
+    /// Bound on the error of the time of day.
+    pub clock_off: Micros,
+    /// Operators' own settings.
+    pub operator: Operator,
+}
+
+impl Settings {
+    /// Reads the platform's file and, if given, the operators' INI.
+    pub fn load(path: &Path, ini: Option<&Path>) -> Result<Settings, SettingsError> {
+        let text = read(path)?;
+        let mut s = Settings::parse(&path.display().to_string(), &text)?;
+        if let Some(ini) = ini {
+            s.operator = parse_ini(&ini.display().to_string(), &read(ini)?, s.operator)?;
+        }
+        Ok(s)
+    }
+
+    /// Reads the platform's file from its text; `file` is for messages.
+    pub fn parse(file: &str, text: &str) -> Result<Settings, SettingsError> {
+        let f: wire::File = serde_json::from_str(text).map_err(|e| SettingsError::Form {
+            file: file.into(),
+            cause: e.to_string(),
+        })?;
+        let bad = |field: &str, cause: &str| SettingsError::Field {
+            file: file.into(),
+            field: field.into(),
+            cause: cause.into(),
+        };
+        let addr = |field: &str, text: &str| -> Result<SocketAddr, SettingsError> {
+            text.parse::<SocketAddrV4>()
+                .map(SocketAddr::V4)
+                .map_err(|_| {
+                    bad(
+                        field,
+                        &format!("\"{text}\" is not an IPv4 address with port"),
+                    )
+                })
+        };
+        let span = |field: &str, s: f64| -> Result<Micros, SettingsError> {
+            if s.is_finite() && s > 0.0 && s <= 1e7 {
+                Ok(units::secs(s))
+            } else {
+                Err(bad(
+                    field,
+                    &format!("{s} is not a positive number of seconds"),
+                ))
+            }
+        };
+        let rate = |field: &str, r: f64| -> Result<f64, SettingsError> {
+            if r.is_finite() && r > 0.0 {
+                Ok(r)
+            } else {
+                Err(bad(field, &format!("{r} is not a positive rate")))
+            }
+        };
+        let amount = |field: &str, cpus: f64, gpus: f64| -> Result<Amount, SettingsError> {
+            if [cpus, gpus]
+                .iter()
+                .all(|x| x.is_finite() && *x >= 0.0 && *x < 1e9)
+            {
+                Ok(Amount {
+                    cpus: units::room(cpus),
+                    gpus: units::room(gpus),
+                })
+            } else {
+                Err(bad(field, "not an amount"))
+            }
+        };
+        if f.host_name.is_empty() || f.host_name.contains(['/', ' ']) {
+            return Err(bad("host_name", "empty, or with a space or slash"));
+        }
+        let mut peers = Vec::new();
+        for (i, o) in f.others.iter().enumerate() {
+            if o.host_name == f.host_name || o.host_name.is_empty() {
+                return Err(bad(&format!("others.{i}.host_name"), "empty or our own"));
+            }
+            peers.push(Peer {
+                name: o.host_name.clone(),
+                zone: o.area.clone(),
+                addr: addr(&format!("others.{i}.addr"), &o.addr)?,
+            });
+        }
+        let mut teams = Vec::new();
+        for (i, t) in f.facts.teams.iter().enumerate() {
+            let field = format!("facts.teams.{i}");
+            teams.push(Team {
+                name: t.name.clone(),
+                guarantee: amount(&field, t.cpus, t.gpus)?,
+                limit: amount(&field, t.cpus_max, t.gpus_max)?,
+            });
+        }
+        let w = &f.facts.workers;
+        let s = &f.facts.state;
+        let lease = span("facts.workers.lease_s", w.lease_s)?;
+        let cancel = span("facts.workers.cancel_s", w.cancel_s)?;
+        if cancel <= lease + units::SECOND {
+            return Err(bad(
+                "facts.workers.cancel_s",
+                "must exceed lease_s by more than a second: no safe grant fits between",
+            ));
+        }
+        if s.txn_ops < 4 {
+            return Err(bad(
+                "facts.state.txn_ops",
+                "fewer than 4 changes a transaction",
+            ));
+        }
+        if f.facts.quota.fd_limit < 32 {
+            return Err(bad("facts.quota.fd_limit", "fewer than 32 sockets"));
+        }
+        Ok(Settings {
+            name: f.host_name,
+            zone: f.area,
+            front: addr("front", &f.front)?,
+            mesh: addr("mesh_addr", &f.mesh_addr)?,
+            peers,
+            cloud: addr("outside.cloud", &f.outside.cloud)?,
+            store: addr("outside.state", &f.outside.state)?,
+            zones: f.facts.zones,
+            teams,
+            objectives: f
+                .facts
+                .objectives
+                .into_iter()
+                .map(|o| Objective {
+                    kind: o.kind,
+                    class: o.class,
+                    within: o.within_s.map(units::secs),
+                    share: o.share.unwrap_or(0.0),
+                })
+                .collect(),
+            report: span("facts.workers.report_s", w.report_s)?,
+            lease,
+            gang_wait: span("facts.workers.gang_wait_s", w.gang_wait_s)?,
+            gang_peer: span("facts.workers.gang_peer_s", w.gang_peer_s)?,
+            cancel,
+            store_rps: rate("facts.state.rps", s.rps)?,
+            store_writes: rate("facts.state.write_rps", s.write_rps)?,
+            value_bytes: (rate("facts.state.value_kb", s.value_kb)? * 1024.0) as usize,
+            txn_ops: s.txn_ops,
+            cloud_rps: rate("facts.cloud.rps", f.facts.cloud.rps)?,
+            list_lag: units::secs(f.facts.cloud.list_lag_s),
+            sockets: f.facts.quota.fd_limit,
+            memory_mb: f.facts.quota.ram_mb,
+            clock_off: units::secs(f.facts.clock_off_ms / 1000.0),
+            operator: Operator::default(),
+        })
+    }
+
+    /// How many controllers, and so regions, there are.
+    pub fn size(&self) -> usize {
+        self.peers.len() + 1
+    }
+
+    /// All regions' names, in one order everywhere.
+    pub fn regions(&self) -> Vec<String> {
+        let mut v: Vec<String> = self.peers.iter().map(|p| p.name.clone()).collect();
+        v.push(self.name.clone());
+        v.sort();
+        v
+    }
+
+    /// The life of an owner's grant. A cancellation that an owner never hears of
+    /// must still be carried out in time by its workers' leases running out:
+    /// life + `lease_s` + margin stays below `cancel_s`.
+    pub fn grant_life(&self) -> Micros {
+        ((self.cancel - self.lease) * 6 / 10).min(20 * units::SECOND)
+    }
+
+    /// A team by name.
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        self.teams.iter().find(|t| t.name == name)
+    }
+}
+
+fn read(path: &Path) -> Result<String, SettingsError> {
+    std::fs::read_to_string(path).map_err(|cause| SettingsError::Unreadable {
+        file: path.display().to_string(),
+        cause,
+    })
+}
+
+/// Reads the operators' INI. Unknown sections and keys are refused: a misspelt
+/// key that is passed over would be found out on the night it matters.
+pub fn parse_ini(file: &str, text: &str, base: Operator) -> Result<Operator, SettingsError> {
+    let bad = |field: String, cause: String| SettingsError::Field {
+        file: file.into(),
+        field,
+        cause,
+    };
+    let ini = ini::Ini::load_from_str(text).map_err(|e| SettingsError::Form {
+        file: file.into(),
+        cause: e.to_string(),
+    })?;
+    let mut op = base;
+    for (section, props) in ini.iter() {
+        for (key, value) in props.iter() {
+            let field = format!("{}.{key}", section.unwrap_or(""));
+            let seconds = |low: f64, high: f64| -> Result<Micros, SettingsError> {
+                match value.trim().parse::<f64>() {
+                    Ok(s) if (low..=high).contains(&s) => Ok(units::secs(s)),
+                    _ => Err(bad(
+                        field.clone(),
+                        format!("\"{value}\" is not a number from {low} to {high}"),
+                    )),
+                }
+            };
+            match (section, key) {
+                (Some("classes"), "precedence") => {
+                    op.precedence = value
+                        .split(',')
+                        .map(|c| c.trim().to_owned())
+                        .filter(|c| !c.is_empty())
+                        .collect();
+                }
+                (Some("renting"), "idle_s") => op.idle = seconds(1.0, 3600.0)?,
+                (Some("renting"), "horizon_s") => op.horizon = seconds(1.0, 3600.0)?,
+                _ => return Err(bad(field, "unknown key".into())),
+            }
+        }
+    }
+    Ok(op)
+}
+
+#[cfg(test)]
+#[allow(missing_docs)]
+pub mod tests {
+    use super::*;
+
+    /// Settings for tests of other slices: three controllers, one zone.
+    pub fn sample() -> String {
+        serde_json::json!({
+            "host_name": "t-0", "area": "a", "front": "127.0.0.1:7000", "mesh_addr": "127.0.0.1:7001",
+            "others": [{"host_name": "t-1", "area": "a", "addr": "127.0.0.1:7011"},
+                       {"host_name": "t-2", "area": "a", "addr": "127.0.0.1:7021"}],
+            "outside": {"cloud": "127.0.0.1:7100", "state": "127.0.0.1:7200"},
+            "facts": {"size": 3, "zones": ["a"], "later": 1,
+                "teams": [{"name": "red", "cpus": 4.0, "cpus_max": 8.0, "gpus": 0.0, "gpus_max": 0.0},
+                          {"name": "blue", "cpus": 4.0, "cpus_max": 16.0, "gpus": 1.0, "gpus_max": 2.0}],
+                "objectives": [{"kind": "wait", "class": "x", "within_s": 10.0, "share": 0.9}],
+                "workers": {"report_s": 3.0, "lease_s": 16.0, "gang_wait_s": 30.0, "gang_peer_s": 8.0, "cancel_s": 41.0},
+                "state": {"rps": 100.0, "write_rps": 50.0, "value_kb": 4.0, "txn_ops": 12},
+                "cloud": {"rps": 3.0, "list_lag_s": 8.0},
+                "quota": {"cores": 0.1, "ram_mb": 56.0, "fd_limit": 500},
+                "clock_off_ms": 5.0}
+        })
+        .to_string()
+    }
+
+    #[test]
+    fn platform_file() {
+        let s = Settings::parse("f", &sample()).unwrap();
+        assert_eq!(s.regions(), ["t-0", "t-1", "t-2"]);
+        assert!(s.grant_life() + s.lease + 2 * units::SECOND < s.cancel);
+        for (from, to, names) in [
+            ("\"127.0.0.1:7000\"", "\"nowhere\"", "front"),
+            (
+                "\"lease_s\":16.0",
+                "\"lease_s\":-1",
+                "facts.workers.lease_s",
+            ),
+            (
+                "\"cancel_s\":41.0",
+                "\"cancel_s\":16.5",
+                "facts.workers.cancel_s",
+            ),
+            ("\"rps\":100.0", "\"rps\":0", "facts.state.rps"),
+            (
+                "\"host_name\":\"t-1\"",
+                "\"host_name\":\"t-0\"",
+                "others.0.host_name",
+            ),
+            ("\"area\":\"a\",\"facts\"", "\"facts\"", "area"),
+        ] {
+            let text = sample().replacen(from, to, 1);
+            let e = Settings::parse("the-file", &text).unwrap_err().to_string();
+            assert!(e.contains("the-file") && e.contains(names), "{from}: {e}");
+        }
+    }
+
+    #[test]
+    fn operators_ini() {
+        let ok = parse_ini(
+            "i",
+            "[classes]\nprecedence = a, b\n[renting]\nidle_s = 30\n",
+            Operator::default(),
+        )
+        .unwrap();
+        assert_eq!(ok.precedence, ["a", "b"]);
+        assert_eq!(ok.idle, 30 * units::SECOND);
+        for (text, names) in [
+            ("[classes]\nprecedense = a\n", "classes.precedense"),
+            ("[renting]\nidle_s = soon\n", "renting.idle_s"),
+            ("[renting]\nidle_s = -4\n", "renting.idle_s"),
+            ("idle_s = 4\n", "idle_s"),
+        ] {
+            let e = parse_ini("the-ini", text, Operator::default())
+                .unwrap_err()
+                .to_string();
+            assert!(e.contains("the-ini") && e.contains(names), "{text}: {e}");
+        }
+    }
+}
--- /dev/null
+++ b/src/workers.rs
@@ -0,0 +1,290 @@
+//! Workers' reports and our commands, by their wire names, and the order of
+//! reports: only a newer one counts, a late or repeated one changes nothing.
+
+use std::rc::Rc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::model::{parse_task, JobId};
+use crate::units::{self, Micros};
+
+mod wire {
+    use super::{Deserialize, Serialize};
+
+    #[derive(Deserialize)]
+    pub struct Report {
+        pub tiller: String,
+        #[serde(default)]
+        pub plot: String,
+        #[serde(default)]
+        pub field: String,
+        #[serde(default)]
+        pub fallow: bool,
+        pub season: u64,
+        pub tally: u64,
+        pub brand: u64,
+        #[serde(default, rename = "reclaimS")]
+        pub reclaim: Option<f64>,
+        #[serde(default)]
+        pub sheaves: Vec<Sheaf>,
+    }
+
+    #[derive(Deserialize)]
+    pub struct Sheaf {
+        pub sheaf: String,
+        pub sowing: u64,
+        pub stage: String,
+        #[serde(default)]
+        pub blight: Option<String>,
+        #[serde(default)]
+        pub stored: Option<bool>,
+    }
+
+    #[derive(Serialize)]
+    pub struct Answer<'a> {
+        pub brand: u64,
+        pub calls: Vec<Call<'a>>,
+    }
+
+    #[derive(Serialize)]
+    pub struct Call<'a> {
+        pub call: &'static str,
+        pub sheaf: &'a str,
+        pub sowing: u64,
+        #[serde(rename = "gleaningS", skip_serializing_if = "Option::is_none")]
+        pub gleaning: Option<f64>,
+    }
+
+    #[derive(Serialize)]
+    pub struct Elsewhere<'a> {
+        #[serde(skip_serializing_if = "Option::is_none")]
+        pub steward: Option<&'a str>,
+    }
+}
+
+/// Why a task ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// Completed.
+    Done,
+    /// Stopped by command.
+    Stopped {
+        /// Its progress was saved.
+        saved: bool,
+    },
+    /// Another task of its gang is gone.
+    MatesGone,
+    /// Its gang was not complete in time.
+    Incomplete,
+    /// Failed.
+    Error,
+    /// Refused: no room.
+    Full,
+    /// Refused: another attempt is there.
+    Busy,
+    /// Refused: no such job or task.
+    Unknown,
+}
+
+/// What a task does on its machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OnMachine {
+    /// Waits for its image.
+    Fetching,
+    /// Waits for its gang.
+    Gathering,
+    /// Runs.
+    Running,
+    /// Saves before it exits.
+    Saving,
+    /// Is no longer on the machine.
+    Ended(End),
+}
+
+/// A task in a report.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReportedTask {
+    /// Its job.
+    pub job: JobId,
+    /// Its number.
+    pub task: u32,
+    /// Which start this is.
+    pub attempt: u64,
+    /// What it does.
+    pub stage: OnMachine,
+}
+
+/// A report.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report {
+    /// Machine.
+    pub machine: String,
+    /// Type.
+    pub flavor: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot or ordinary.
+    pub spot: bool,
+    /// Session and number: the order of reports.
+    pub order: (u64, u64),
+    /// Highest token the worker has seen.
+    pub token: u64,
+    /// Time until the cloud takes the machine away.
+    pub notice: Option<Micros>,
+    /// Tasks on the machine.
+    pub tasks: Vec<ReportedTask>,
+}
+
+/// Reads a report; `None` for anything that is not one.
+pub fn parse_report(body: &[u8]) -> Option<Report> {
+    let r: wire::Report = match rmp_serde::from_slice(body) {
+        Ok(r) => r,
+        Err(e) => {
+            log::info!("workers: report: can't be read: {e}");
+            return None;
+        }
+    };
+    let mut tasks = Vec::with_capacity(r.sheaves.len());
+    for s in r.sheaves {
+        let (job, task) = parse_task(&s.sheaf)?;
+        let stage = match s.stage.as_str() {
+            "pulling" => OnMachine::Fetching,
+            "gathering" => OnMachine::Gathering,
+            "running" => OnMachine::Running,
+            "flushing" => OnMachine::Saving,
+            "ended" => OnMachine::Ended(match s.blight.as_deref() {
+                Some("done") => End::Done,
+                Some("stopped") => End::Stopped {
+                    saved: s.stored.unwrap_or(false),
+                },
+                Some("mates_gone") => End::MatesGone,
+                Some("incomplete") => End::Incomplete,
+                Some("full") => End::Full,
+                Some("busy") => End::Busy,
+                Some("unknown") => End::Unknown,
+                _ => End::Error,
+            }),
+            // A stage we don't know is something on the machine: the safe reading.
+            _ => OnMachine::Running,
+        };
+        tasks.push(ReportedTask {
+            job: Rc::from(job),
+            task,
+            attempt: s.sowing,
+            stage,
+        });
+    }
+    Some(Report {
+        machine: r.tiller,
+        flavor: r.plot,
+        zone: r.field,
+        spot: r.fallow,
+        order: (r.season, r.tally),
+        token: r.brand,
+        notice: r.reclaim.map(units::secs),
+        tasks,
+    })
+}
+
+/// A command in the answer to a report.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Command {
+    /// Start a task.
+    Start(JobId, u32, u64),
+    /// Stop a task; it may save if the grace is long enough.
+    Stop(JobId, u32, u64, Micros),
+    /// Forget an ended task.
+    Reap(JobId, u32, u64),
+}
+
+/// The most commands of one answer, which must stay below 64 KiB.
+pub const MAX_COMMANDS: usize = 400;
+
+/// The body of a 200.
+pub fn answer(token: u64, commands: &[Command]) -> Vec<u8> {
+    let names: Vec<String> = commands
+        .iter()
+        .map(|c| match c {
+            Command::Start(j, n, _) | Command::Stop(j, n, _, _) | Command::Reap(j, n, _) => {
+                format!("{j}/{n}")
+            }
+        })
+        .collect();
+    let calls = commands
+        .iter()
+        .zip(&names)
+        .map(|(c, sheaf)| {
+            let (call, sowing, gleaning) = match c {
+                Command::Start(_, _, a) => ("start", *a, None),
+                Command::Stop(_, _, a, g) => ("stop", *a, Some(units::to_secs(*g))),
+                Command::Reap(_, _, a) => ("reap", *a, None),
+            };
+            wire::Call {
+                call,
+                sheaf,
+                sowing,
+                gleaning,
+            }
+        })
+        .collect();
+    rmp_serde::to_vec_named(&wire::Answer {
+        brand: token,
+        calls,
+    })
+    .unwrap_or_default()
+}
+
+/// The body of a 421.
+pub fn elsewhere(steward: Option<&str>) -> Vec<u8> {
+    rmp_serde::to_vec_named(&wire::Elsewhere { steward }).unwrap_or_default()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    #[test]
+    fn reports_good_and_bad() {
+        let good = json!({"tiller":"m-1","address":"x","plot":"g8","field":"a","fallow":true,
+            "season":1,"tally":8,"brand":4,"reclaimS":2.5,"new":1,
+            "sheaves":[{"sheaf":"req-1/3","sowing":2,"stage":"running"},
+                       {"sheaf":"req-1/4","sowing":2,"stage":"brewing"},
+                       {"sheaf":"req-2/0","sowing":1,"stage":"ended","blight":"stopped","stored":true}]});
+        let r = parse_report(&rmp_serde::to_vec(&good).unwrap()).unwrap();
+        assert_eq!((r.order, r.token, r.notice), ((1, 8), 4, Some(2_500_000)));
+        assert_eq!(r.tasks[1].stage, OnMachine::Running);
+        assert_eq!(
+            r.tasks[2].stage,
+            OnMachine::Ended(End::Stopped { saved: true })
+        );
+        for (field, value) in [
+            ("tiller", json!(3)),
+            ("season", json!(-1)),
+            ("tally", json!("x")),
+            (
+                "sheaves",
+                json!([{"sheaf":"odd","sowing":1,"stage":"running"}]),
+            ),
+        ] {
+            let mut bad = good.clone();
+            bad[field] = value;
+            assert!(
+                parse_report(&rmp_serde::to_vec(&bad).unwrap()).is_none(),
+                "{field}"
+            );
+        }
+        assert!(parse_report(b"\xc1nonsense").is_none());
+    }
+
+    #[test]
+    fn a_full_answer_stays_small() {
+        let job: JobId = Rc::from("req-12345678901234567890");
+        let cmds: Vec<_> = (0..MAX_COMMANDS as u32)
+            .map(|i| Command::Stop(job.clone(), 99_999 - i, u64::MAX, 10_000_000))
+            .collect();
+        // Limits are counted in JSON, which is longer than what is sent.
+        let v: serde_json::Value = rmp_serde::from_slice(&answer(u64::MAX, &cmds)).unwrap();
+        assert!(v.to_string().len() < 64 * 1024);
+    }
+}
