--- a/src/leader.rs
+++ b/src/leader.rs
@@ -532,7 +532,6 @@
         if fleet.down() || v.now < self.rent_wait || !fleet.renting().is_empty() {
             return;
         }
-        let horizon = v.settings.operator.horizon;
         // Work that waits, by the one type it fits or for all types together.
         let mut groups: BTreeMap<Option<&str>, Vec<(&Wait, u64)>> = BTreeMap::new();
         for w in waits {
@@ -566,12 +565,15 @@
                     _ => r.cap.0 as f64,
                 })
                 .sum();
-            let lack = work / horizon as f64 - have;
-            if lack <= 0.0 {
-                continue;
-            }
             let Some((w, _)) = list.first() else { continue };
-            let Some((offer, per)) = self.best_offer(&w.spec, narrow.is_some(), v) else {
+            let horizon = list
+                .iter()
+                .map(|(w, _)| horizon(&w.spec, v))
+                .min()
+                .unwrap_or(SECOND);
+            let Some((offer, per, lack)) =
+                self.best_offer(&w.spec, narrow.is_some(), work, have, horizon, v)
+            else {
                 continue;
             };
             let tasks: u64 = list.iter().map(|(_, n)| *n).sum();
@@ -595,9 +597,20 @@
     }
 
     /// The cheapest offer for a job, by price of the processors it would use,
-    /// slow boots counted as dearer.
-    fn best_offer(&self, s: &JobSpec, narrow: bool, v: &View<'_>) -> Option<(Offer, u64)> {
-        let mut best: Option<(f64, Offer, u64)> = None;
+    /// slow boots counted as dearer, and how many processors are lacking of it.
+    /// An offer is of use only for work that the machines at hand leave undone
+    /// by the time it has booted; ordinary machines are for work that would wait
+    /// longer still.
+    fn best_offer(
+        &self,
+        s: &JobSpec,
+        narrow: bool,
+        work: f64,
+        have: f64,
+        horizon: Micros,
+        v: &View<'_>,
+    ) -> Option<(Offer, u64, f64)> {
+        let mut best: Option<(f64, Offer, u64, f64)> = None;
         for o in offers(&v.replica.flavors) {
             let Some(f) = v.replica.flavors.get(&o.flavor).map(|f| &f.value) else {
                 continue;
@@ -612,14 +625,41 @@
             if per == 0 {
                 continue;
             }
+            let lack = (work - have * f.boot as f64) / horizon as f64 - have;
+            if lack <= 0.0 {
+                continue;
+            }
             let price = if o.spot { f.spot_price } else { f.price } as f64;
             let cost = price / (per * s.cpus).max(1) as f64 * (1.0 + to_secs(f.boot) / 100.0);
-            if best.as_ref().is_none_or(|(c, _, _)| cost < *c) {
-                best = Some((cost, o, per));
+            if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
+                best = Some((cost, o, per, lack));
             }
         }
-        best.map(|(_, o, n)| (o, n))
+        best.map(|(_, o, n, l)| (o, n, l))
+    }
+}
+
+/// How soon a job's waiting tasks should be under way: half of the time that
+/// its aims leave for waiting.
+fn horizon(s: &JobSpec, v: &View<'_>) -> Micros {
+    if let Some(h) = v.settings.operator.horizon {
+        return h;
+    }
+    let mut left = 120 * SECOND;
+    if let Some(d) = s.deadline {
+        left = left.min(d.saturating_sub(s.estimate));
+    }
+    for o in &v.settings.objectives {
+        if o.class.as_deref() != Some(s.class.as_str()) {
+            continue;
+        }
+        match (o.kind.as_str(), o.within) {
+            ("wait", Some(w)) => left = left.min(w),
+            ("finished", Some(w)) => left = left.min(w.saturating_sub(s.estimate)),
+            _ => {}
+        }
     }
+    (left / 2).max(5 * SECOND)
 }
 
 fn differs(known: &Versioned<Flavor>, f: &Flavor) -> bool {
--- a/src/region.rs
+++ b/src/region.rs
@@ -209,6 +209,9 @@
     guarantee_stale: bool,
     narrow: NarrowMemory,
     out: Vec<Effect>,
+    /// Processors in use, smoothed over time.
+    usual: f64,
+    next_surplus: Micros,
     /// Something changed that may let a task be placed.
     pub dirty: bool,
     next_tick: Micros,
@@ -244,6 +247,8 @@
             guarantee_stale: true,
             narrow: NarrowMemory::default(),
             out: Vec::new(),
+            usual: 0.0,
+            next_surplus: 0,
             dirty: true,
             next_tick: 0,
         };
@@ -930,6 +935,7 @@
             self.next_tick = v.now + 250 * MILLI;
             self.settle_conflicts(v);
             self.watch_machines(v);
+            self.watch_surplus(v);
             self.share_out(v);
             let due: Vec<JobId> = self
                 .jobs
@@ -1275,6 +1281,72 @@
         }
     }
 
+    /// Closes machines that the region can do without, the dearest first, so
+    /// that they empty and go back; and opens them again if work waits before
+    /// they have. Tasks are never moved for it.
+    fn watch_surplus(&mut self, v: &View<'_>) {
+        if v.now < self.next_surplus || !self.settled {
+            return;
+        }
+        self.next_surplus = v.now + SECOND;
+        let waiting = self
+            .jobs
+            .values()
+            .any(|j| !j.waiting.is_empty() && j.narrow_to.is_none());
+        if waiting {
+            for m in self.machines.values_mut() {
+                if m.closed == Some("surplus") && !m.releasing {
+                    m.closed = None;
+                    self.dirty = true;
+                }
+            }
+        }
+        let (mut cap, mut used) = (0u64, 0u64);
+        let mut candidates = Vec::new();
+        for (name, m) in &self.machines {
+            if !m.open() || m.notice.is_some() {
+                continue;
+            }
+            let kept = !m.rec.spot && self.narrow.kept_for(&m.rec.flavor, v.now).is_some();
+            if kept {
+                continue;
+            }
+            cap += m.cap.0;
+            used += m.used.0;
+            if v.now > m.dealt_at + 50 * SECOND {
+                if let Some(f) = v.replica.flavors.get(&m.rec.flavor) {
+                    let f = &f.value;
+                    let price = if m.rec.spot { f.spot_price } else { f.price };
+                    let each = price.saturating_mul(1_000_000) / f.cpus.max(1);
+                    candidates.push((
+                        each,
+                        std::cmp::Reverse(m.tasks.len()),
+                        name.clone(),
+                        m.cap.0,
+                    ));
+                }
+            }
+        }
+        self.usual += (used as f64 - self.usual) * 0.05;
+        let keep = self.usual.max(used as f64) * (1.0 + v.settings.operator.headroom);
+        if waiting {
+            return;
+        }
+        candidates.sort();
+        if let Some((_, _, name, size)) = candidates.pop() {
+            if (cap - size) as f64 >= keep {
+                log::debug!(
+                    "region: {name}: closed, {:.0} of {:.0} processors in use",
+                    crate::units::plain(used),
+                    crate::units::plain(cap)
+                );
+                if let Some(m) = self.machines.get_mut(&name) {
+                    m.closed = Some("surplus");
+                }
+            }
+        }
+    }
+
     /// The cloud has answered a return: `gone` if the machines are surely gone.
     pub fn on_released(&mut self, names: &[String], gone: bool, v: &View<'_>) {
         for name in names {
@@ -1375,14 +1447,10 @@
     }
 
     /// The order in which waiting jobs are served: those within their team's
-    /// guarantee, then rank, then the operators' precedence, then deadline or
-    /// time of submission.
-    fn order_key(
-        &self,
-        id: &str,
-        s: &JobSpec,
-        v: &View<'_>,
-    ) -> (bool, std::cmp::Reverse<crate::model::Rank>, usize, u64) {
+    /// guarantee, then rank, then the operators' precedence. Among equals, those
+    /// that can still meet an aim of their class go before those that can't, the
+    /// pressing ones first, then the short ones: that way the most are in time.
+    fn order_key(&self, id: &str, s: &JobSpec, v: &View<'_>) -> OrderKey {
         let precedence = v
             .settings
             .operator
@@ -1390,11 +1458,17 @@
             .iter()
             .position(|c| *c == s.class)
             .unwrap_or(usize::MAX);
+        let due = latest_start(s, v);
+        let size = s.estimate.saturating_mul(s.tasks.into()) / 1000 * (s.cpus / 1000).max(1);
+        let pressing = due.is_some_and(|d| d < v.wall + PRESSING);
         (
             !self.guaranteed.contains(id),
             std::cmp::Reverse(s.rank),
             precedence,
-            s.submitted + s.deadline.unwrap_or(0),
+            due.is_none(),
+            !pressing,
+            if pressing { due.unwrap_or(0) } else { size },
+            s.submitted,
         )
     }
 
@@ -1661,6 +1735,51 @@
     }
 }
 
+type OrderKey = (
+    bool,
+    std::cmp::Reverse<crate::model::Rank>,
+    usize,
+    bool,
+    bool,
+    u64,
+    u64,
+);
+
+/// A job whose latest start is nearer than this goes before shorter ones.
+const PRESSING: Micros = 15 * SECOND;
+
+/// The time of day by which a job must be started to meet the nearest of its
+/// aims that can still be met: its own deadline, or what its class is expected.
+/// `None` if there was one and it is past; far off if there never was one.
+pub fn latest_start(s: &JobSpec, v: &View<'_>) -> Option<Micros> {
+    let mut any = false;
+    let mut best: Option<Micros> = None;
+    let mut aim = |at: Micros| {
+        any = true;
+        if at >= v.wall {
+            best = Some(best.map_or(at, |b| b.min(at)));
+        }
+    };
+    if let Some(d) = s.deadline {
+        aim((s.submitted + d).saturating_sub(s.estimate));
+    }
+    for o in &v.settings.objectives {
+        if o.class.as_deref() != Some(s.class.as_str()) {
+            continue;
+        }
+        match (o.kind.as_str(), o.within) {
+            ("wait", Some(w)) => aim(s.submitted + w),
+            ("finished", Some(w)) => aim((s.submitted + w).saturating_sub(s.estimate)),
+            _ => {}
+        }
+    }
+    if any {
+        best
+    } else {
+        Some(s.submitted + 3600 * SECOND)
+    }
+}
+
 /// Which machine types are kept clear, and for how much: those that are the only
 /// ones on which some recent job fits. Jobs that fit elsewhere may have the rest.
 #[derive(Debug, Default)]
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -227,7 +227,10 @@
     /// How long a machine may stand idle before it is returned.
     pub idle: Micros,
     /// How soon waiting work should be under way: beyond it machines are rented.
-    pub horizon: Micros,
+    /// Unless given, it follows from the aims of the work's class.
+    pub horizon: Option<Micros>,
+    /// Processors kept beyond those in use, as a share of these.
+    pub headroom: f64,
 }
 
 impl Default for Operator {
@@ -235,7 +238,8 @@
         Operator {
             precedence: Vec::new(),
             idle: 20 * units::SECOND,
-            horizon: 20 * units::SECOND,
+            horizon: None,
+            headroom: 0.3,
         }
     }
 }
@@ -505,7 +509,18 @@
                         .collect();
                 }
                 (Some("renting"), "idle_s") => op.idle = seconds(1.0, 3600.0)?,
-                (Some("renting"), "horizon_s") => op.horizon = seconds(1.0, 3600.0)?,
+                (Some("renting"), "horizon_s") => op.horizon = Some(seconds(1.0, 3600.0)?),
+                (Some("renting"), "headroom") => {
+                    op.headroom = match value.trim().parse::<f64>() {
+                        Ok(x) if (0.0..=10.0).contains(&x) => x,
+                        _ => {
+                            return Err(bad(
+                                field,
+                                format!("\"{value}\" is not a number from 0 to 10"),
+                            ))
+                        }
+                    }
+                }
                 _ => return Err(bad(field, "unknown key".into())),
             }
         }
@@ -583,6 +598,7 @@
             ("[classes]\nprecedense = a\n", "classes.precedense"),
             ("[renting]\nidle_s = soon\n", "renting.idle_s"),
             ("[renting]\nidle_s = -4\n", "renting.idle_s"),
+            ("[renting]\nheadroom = NaN\n", "renting.headroom"),
             ("idle_s = 4\n", "idle_s"),
         ] {
             let e = parse_ini("the-ini", text, Operator::default())
