--- a/src/leader.rs
+++ b/src/leader.rs
@@ -554,17 +554,22 @@
                 .iter()
                 .map(|(w, n)| *n as f64 * w.spec.cpus as f64 * w.spec.estimate.max(SECOND) as f64)
                 .sum();
-            let have: f64 = rooms
-                .iter()
-                .filter(|r| match narrow {
+            // Capacity at hand, and of that what is up already.
+            let (mut have, mut up) = (0.0, 0.0);
+            for r in rooms.iter() {
+                let of_use = match narrow {
                     Some(f) => r.flavor == f && list.iter().any(|(w, _)| w.spec.spot || !r.spot),
                     None => true,
-                })
-                .map(|r| match (narrow, r.kept, r.spot) {
-                    (None, Some(k), false) => r.cap.0.saturating_sub(k.0) as f64,
-                    _ => r.cap.0 as f64,
-                })
-                .sum();
+                };
+                if of_use {
+                    let cap = match (narrow, r.kept, r.spot) {
+                        (None, Some(k), false) => r.cap.0.saturating_sub(k.0) as f64,
+                        _ => r.cap.0 as f64,
+                    };
+                    have += cap;
+                    up += if r.live { cap } else { 0.0 };
+                }
+            }
             let Some((w, _)) = list.first() else { continue };
             let horizon = list
                 .iter()
@@ -572,12 +577,12 @@
                 .min()
                 .unwrap_or(SECOND);
             let Some((offer, per, lack)) =
-                self.best_offer(&w.spec, narrow.is_some(), work, have, horizon, v)
+                self.best_offer(&w.spec, narrow.is_some(), work, (have, up), horizon, v)
             else {
                 continue;
             };
             let tasks: u64 = list.iter().map(|(_, n)| *n).sum();
-            let by_work = (lack / (per * w.spec.cpus) as f64).ceil() as u64;
+            let by_work = (lack / (per * w.spec.cpus) as f64).round() as u64;
             let by_tasks = tasks.div_ceil(per.max(1));
             let count = by_work.min(by_tasks).clamp(1, 20) as u32;
             self.counter += 1;
@@ -606,7 +611,7 @@
         s: &JobSpec,
         narrow: bool,
         work: f64,
-        have: f64,
+        (have, up): (f64, f64),
         horizon: Micros,
         v: &View<'_>,
     ) -> Option<(Offer, u64, f64)> {
@@ -625,7 +630,7 @@
             if per == 0 {
                 continue;
             }
-            let lack = (work - have * f.boot as f64) / horizon as f64 - have;
+            let lack = (work - up * f.boot as f64) / horizon as f64 - have;
             if lack <= 0.0 {
                 continue;
             }
--- a/src/region.rs
+++ b/src/region.rs
@@ -51,7 +51,10 @@
     narrow: bool,
     /// Must go: with this grace.
     stop: Option<Micros>,
+    /// When it was sent, or found.
     since: Micros,
+    /// When it was first reported as running.
+    ran_at: Option<Micros>,
 }
 
 /// How a machine stands with us.
@@ -437,6 +440,15 @@
                 if m.tasks.is_empty() {
                     m.idle_since = now;
                 }
+                if h.place != Place::Assigned {
+                    log::debug!(
+                        "region: {id}/{n}: off {} ({}), {to:?} after {:.1} s, of these {:.1} s before running",
+                        was_out.as_deref().unwrap_or(""),
+                        m.rec.flavor,
+                        to_secs(now - h.since),
+                        to_secs(h.ran_at.unwrap_or(now) - h.since)
+                    );
+                }
                 let s = self.shares.entry(h.team.clone()).or_default();
                 s.used = s.used.minus(h.need);
                 if h.attempt >> 24 == self.token {
@@ -489,6 +501,7 @@
                         narrow: job.narrow_to.is_some(),
                         stop: job.over.then_some(0),
                         since: now,
+                        ran_at: None,
                     },
                 );
                 job.out.insert(n, machine.to_owned());
@@ -680,7 +693,9 @@
                     if let Some(m) = self.machines.get_mut(machine) {
                         if let Some(h) = m.tasks.get_mut(&key) {
                             h.place = Place::On(t.stage);
-                            h.since = v.now;
+                            if t.stage == OnMachine::Running {
+                                h.ran_at.get_or_insert(v.now);
+                            }
                         }
                     }
                 }
@@ -1225,7 +1240,12 @@
     fn watch_machines(&mut self, v: &View<'_>) {
         let mut clear = Vec::new();
         let mut release = Vec::new();
-        let waiting = self.jobs.values().any(|j| !j.waiting.is_empty());
+        let waiting: Vec<(Rc<JobSpec>, bool)> = self
+            .jobs
+            .values()
+            .filter(|j| !j.waiting.is_empty())
+            .map(|j| (j.spec.clone(), j.narrow_to.is_some()))
+            .collect();
         for (name, m) in self.machines.iter_mut() {
             if m.gone || m.releasing {
                 continue;
@@ -1261,9 +1281,17 @@
             }
             let age = v.now - m.dealt_at;
             let idle = v.now.saturating_sub(m.idle_since.max(m.dealt_at));
-            if m.closed.is_some()
-                || (!waiting && idle > v.settings.operator.idle && age > 55 * SECOND)
-            {
+            let kept = !m.rec.spot && self.narrow.kept_for(&m.rec.flavor, v.now).is_some();
+            let wanted = waiting.iter().any(|(s, narrow)| {
+                (*narrow || !kept)
+                    && (s.spot || !m.rec.spot)
+                    && fits(m.cap, s)
+                    && s.types.as_ref().is_none_or(|t| t.contains(&m.rec.flavor))
+            });
+            // To stand idle for as long as a new one takes to boot costs as much
+            // as that boot: beyond it, returning is the cheaper guess.
+            let patience = v.settings.operator.idle.unwrap_or(m.boot);
+            if m.closed.is_some() || (!wanted && idle > patience && age > 55 * SECOND) {
                 let why = *m.closed.get_or_insert("idle");
                 log::info!("region: {name}: returned, {why}");
                 release.push(name.clone());
@@ -1327,7 +1355,7 @@
                 }
             }
         }
-        self.usual += (used as f64 - self.usual) * 0.05;
+        self.usual += (used as f64 - self.usual) * 0.1;
         let keep = self.usual.max(used as f64) * (1.0 + v.settings.operator.headroom);
         if waiting {
             return;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -224,8 +224,9 @@
 pub struct Operator {
     /// Classes in the order in which they go first, after guarantee and rank.
     pub precedence: Vec<String>,
-    /// How long a machine may stand idle before it is returned.
-    pub idle: Micros,
+    /// How long a machine may stand idle before it is returned; unless given, as
+    /// long as one of its type takes to boot.
+    pub idle: Option<Micros>,
     /// How soon waiting work should be under way: beyond it machines are rented.
     /// Unless given, it follows from the aims of the work's class.
     pub horizon: Option<Micros>,
@@ -237,7 +238,7 @@
     fn default() -> Self {
         Operator {
             precedence: Vec::new(),
-            idle: 20 * units::SECOND,
+            idle: None,
             horizon: None,
             headroom: 0.3,
         }
@@ -508,7 +509,7 @@
                         .filter(|c| !c.is_empty())
                         .collect();
                 }
-                (Some("renting"), "idle_s") => op.idle = seconds(1.0, 3600.0)?,
+                (Some("renting"), "idle_s") => op.idle = Some(seconds(1.0, 3600.0)?),
                 (Some("renting"), "horizon_s") => op.horizon = Some(seconds(1.0, 3600.0)?),
                 (Some("renting"), "headroom") => {
                     op.headroom = match value.trim().parse::<f64>() {
@@ -593,7 +594,7 @@
         )
         .unwrap();
         assert_eq!(ok.precedence, ["a", "b"]);
-        assert_eq!(ok.idle, 30 * units::SECOND);
+        assert_eq!(ok.idle, Some(30 * units::SECOND));
         for (text, names) in [
             ("[classes]\nprecedense = a\n", "classes.precedense"),
             ("[renting]\nidle_s = soon\n", "renting.idle_s"),
