--- a/src/leader.rs
+++ b/src/leader.rs
@@ -11,7 +11,7 @@
 use crate::fleet::{offers, Fleet, FleetEvent, Listed, Offer, Refusals};
 use crate::mesh::{Message, RegionReport};
 use crate::model::{Flavor, JobSpec, Kind};
-use crate::region::{narrow_type, NarrowMemory, View};
+use crate::region::{narrow_type, NarrowMemory, View, LEAST_AGE};
 use crate::registry::records::{value, JobRecord, Key, MachineRecord, Part};
 use crate::registry::replica::Versioned;
 use crate::registry::{Txn, Urgency};
@@ -47,11 +47,18 @@
     next_list: Micros,
     next_flavors: Micros,
     rent_wait: Micros,
+    next_close: Micros,
+    /// Processors in use by work that fits many types, smoothed over time.
+    usual: f64,
+    /// What a job of such work takes, smoothed over jobs.
+    job_size: f64,
     out: Vec<Effect>,
 }
 
 /// Room on one machine while planning.
 struct Room {
+    machine: String,
+    age: Micros,
     region: String,
     flavor: String,
     zone: String,
@@ -125,6 +132,9 @@
             next_list: v.now + 20 * SECOND,
             next_flavors: 0,
             rent_wait: 0,
+            next_close: v.now + 5 * SECOND,
+            usual: 0.0,
+            job_size: 0.0,
             out: Vec::new(),
         };
         for (_, _, s) in v.replica.open_jobs() {
@@ -194,6 +204,10 @@
                 continue;
             };
             *level_one.entry(region.clone()).or_default() += 1;
+            if narrow_type(spec, v.replica).is_none() {
+                let size = spec.cpus as f64 * spec.tasks as f64;
+                self.job_size += (size - self.job_size) * 0.1;
+            }
             let bound = JobRecord {
                 parts: vec![Part(0, spec.tasks, region.clone())],
                 ..rec.value.clone()
@@ -398,10 +412,16 @@
     fn rooms(&self, v: &View<'_>, reports: &Reports) -> Vec<Room> {
         let mut rooms = Vec::new();
         let mut told: HashSet<&str> = HashSet::new();
-        let room = |m: &MachineRecord, free: Option<(u64, u64, u64)>, live: bool| -> Option<Room> {
+        let room = |name: &str,
+                    m: &MachineRecord,
+                    free: Option<(u64, u64, u64)>,
+                    live: bool|
+         -> Option<Room> {
             let f = &v.replica.flavors.get(&m.flavor)?.value;
             let cap = (f.cpus, f.gpus, f.mem);
             Some(Room {
+                machine: name.to_owned(),
+                age: 0,
                 region: m.region.clone(),
                 flavor: m.flavor.clone(),
                 zone: m.zone.clone(),
@@ -416,7 +436,11 @@
             for line in &r.rooms {
                 told.insert(&line.machine);
                 if let Some(m) = v.replica.machines.get(&line.machine) {
-                    rooms.extend(room(&m.value, Some(line.free), line.live));
+                    let r = room(&line.machine, &m.value, Some(line.free), line.live);
+                    rooms.extend(r.map(|r| Room {
+                        age: line.age_us,
+                        ..r
+                    }));
                 }
             }
         }
@@ -431,7 +455,7 @@
                 spot: o.spot,
                 opened: false,
             };
-            rooms.extend(room(&rec, None, false));
+            rooms.extend(room(name, &rec, None, false));
         }
         rooms
     }
@@ -461,12 +485,61 @@
                 });
             }
         }
+        self.close_surplus(v, &waits, &rooms);
         self.move_waiting(v, &mut waits, &mut rooms);
         if v.now > self.began + SECOND {
             self.rent(v, &waits, &mut rooms, fleet);
         }
     }
 
+    /// Has machines closed that all regions together can do without: of those
+    /// that leave enough, the one on which the most money is spent for nothing.
+    fn close_surplus(&mut self, v: &View<'_>, waits: &[Wait], rooms: &[Room]) {
+        let (mut cap, mut used) = (0u64, 0u64);
+        let mut best: Option<(f64, &Room)> = None;
+        let open = || {
+            rooms
+                .iter()
+                .filter(|r| r.live && (r.spot || r.kept.is_none()))
+        };
+        for r in open() {
+            cap += r.cap.0;
+            used += r.cap.0 - r.free.0;
+        }
+        self.usual += (used as f64 - self.usual) * 0.04;
+        if waits.iter().any(|w| w.narrow.is_none()) || v.now < self.next_close {
+            return;
+        }
+        let keep =
+            self.usual.max(used as f64) * (1.0 + v.settings.operator.headroom) + self.job_size;
+        for r in open() {
+            let Some(f) = v.replica.flavors.get(&r.flavor).map(|f| &f.value) else {
+                continue;
+            };
+            if r.age < LEAST_AGE || ((cap - r.cap.0) as f64) < keep {
+                continue;
+            }
+            let price = if r.spot { f.spot_price } else { f.price } as f64;
+            let vain = price * (r.free.0 as f64 / r.cap.0.max(1) as f64);
+            if best.is_none_or(|(b, _)| vain > b) {
+                best = Some((vain, r));
+            }
+        }
+        if let Some((_, r)) = best {
+            self.next_close = v.now + 500 * MILLI;
+            log::debug!(
+                "leader: {}: not needed, {:.0} of {:.0} processors in use",
+                r.machine,
+                crate::units::plain(used),
+                crate::units::plain(cap)
+            );
+            self.out.push(Effect::Tell(Message::Close {
+                region: r.region.clone(),
+                machine: r.machine.clone(),
+            }));
+        }
+    }
+
     /// Rebinds tasks that have found no room for a short while to the region
     /// with the most free room.
     fn move_waiting(&mut self, v: &View<'_>, waits: &mut [Wait], rooms: &mut [Room]) {
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -17,6 +17,8 @@
     pub tasks: u32,
     /// Heard from and open to placing.
     pub live: bool,
+    /// Since it was dealt.
+    pub age_us: u64,
 }
 
 /// A job with tasks that wait in a region.
@@ -81,6 +83,13 @@
         /// How many tasks at most.
         count: u32,
     },
+    /// The leader finds that a machine is not needed.
+    Close {
+        /// Region.
+        region: String,
+        /// Machine.
+        machine: String,
+    },
 }
 
 /// A message as bytes.
@@ -122,6 +131,7 @@
                     free: (1, 2, 3),
                     tasks: 4,
                     live: true,
+                    age_us: 7,
                 }],
                 waits: vec![WaitLine {
                     job: "req-1".into(),
--- a/src/node.rs
+++ b/src/node.rs
@@ -657,7 +657,7 @@
     }
 
     fn tell_owner(&mut self, m: Message) {
-        let Message::Move { from, .. } = &m else {
+        let (Message::Move { from, .. } | Message::Close { region: from, .. }) = &m else {
             return;
         };
         if self.regions.contains_key(from) {
@@ -750,6 +750,12 @@
                     r.give(&job, &to, count, &v);
                 }
             }
+            Message::Close { region, machine } => {
+                let v = view!(self);
+                if let Some(r) = self.regions.get_mut(&region) {
+                    r.close(&machine, &v);
+                }
+            }
         }
     }
 
--- a/src/region.rs
+++ b/src/region.rs
@@ -212,15 +212,15 @@
     guarantee_stale: bool,
     narrow: NarrowMemory,
     out: Vec<Effect>,
-    /// Processors in use, smoothed over time.
-    usual: f64,
-    next_surplus: Micros,
     /// Something changed that may let a task be placed.
     pub dirty: bool,
     next_tick: Micros,
 }
 
 const SLACK: Micros = SECOND;
+const SURPLUS: &str = "surplus";
+/// A machine costs a minute at least: it isn't returned before it is nearly over.
+pub const LEAST_AGE: Micros = 50 * SECOND;
 /// How long a type is kept clear for jobs that fit nowhere else, after the last
 /// of them was seen.
 const NARROW_MEMORY: Micros = 180 * SECOND;
@@ -250,8 +250,6 @@
             guarantee_stale: true,
             narrow: NarrowMemory::default(),
             out: Vec::new(),
-            usual: 0.0,
-            next_surplus: 0,
             dirty: true,
             next_tick: 0,
         };
@@ -950,7 +948,7 @@
             self.next_tick = v.now + 250 * MILLI;
             self.settle_conflicts(v);
             self.watch_machines(v);
-            self.watch_surplus(v);
+            self.reopen();
             self.share_out(v);
             let due: Vec<JobId> = self
                 .jobs
@@ -1291,7 +1289,7 @@
             // To stand idle for as long as a new one takes to boot costs as much
             // as that boot: beyond it, returning is the cheaper guess.
             let patience = v.settings.operator.idle.unwrap_or(m.boot);
-            if m.closed.is_some() || (!wanted && idle > patience && age > 55 * SECOND) {
+            if m.closed.is_some() || (!wanted && idle > patience && age > LEAST_AGE) {
                 let why = *m.closed.get_or_insert("idle");
                 log::info!("region: {name}: returned, {why}");
                 release.push(name.clone());
@@ -1309,68 +1307,31 @@
         }
     }
 
-    /// Closes machines that the region can do without, the dearest first, so
-    /// that they empty and go back; and opens them again if work waits before
-    /// they have. Tasks are never moved for it.
-    fn watch_surplus(&mut self, v: &View<'_>) {
-        if v.now < self.next_surplus || !self.settled {
-            return;
-        }
-        self.next_surplus = v.now + SECOND;
+    /// Work waits: machines that were closed as not needed serve again, unless
+    /// they are already on their way back to the cloud.
+    fn reopen(&mut self) {
         let waiting = self
             .jobs
             .values()
             .any(|j| !j.waiting.is_empty() && j.narrow_to.is_none());
         if waiting {
             for m in self.machines.values_mut() {
-                if m.closed == Some("surplus") && !m.releasing {
+                if m.closed == Some(SURPLUS) && !m.releasing {
                     m.closed = None;
                     self.dirty = true;
                 }
             }
         }
-        let (mut cap, mut used) = (0u64, 0u64);
-        let mut candidates = Vec::new();
-        for (name, m) in &self.machines {
-            if !m.open() || m.notice.is_some() {
-                continue;
-            }
-            let kept = !m.rec.spot && self.narrow.kept_for(&m.rec.flavor, v.now).is_some();
-            if kept {
-                continue;
-            }
-            cap += m.cap.0;
-            used += m.used.0;
-            if v.now > m.dealt_at + 50 * SECOND {
-                if let Some(f) = v.replica.flavors.get(&m.rec.flavor) {
-                    let f = &f.value;
-                    let price = if m.rec.spot { f.spot_price } else { f.price };
-                    let each = price.saturating_mul(1_000_000) / f.cpus.max(1);
-                    candidates.push((
-                        each,
-                        std::cmp::Reverse(m.tasks.len()),
-                        name.clone(),
-                        m.cap.0,
-                    ));
-                }
-            }
-        }
-        self.usual += (used as f64 - self.usual) * 0.1;
-        let keep = self.usual.max(used as f64) * (1.0 + v.settings.operator.headroom);
-        if waiting {
-            return;
-        }
-        candidates.sort();
-        if let Some((_, _, name, size)) = candidates.pop() {
-            if (cap - size) as f64 >= keep {
-                log::debug!(
-                    "region: {name}: closed, {:.0} of {:.0} processors in use",
-                    crate::units::plain(used),
-                    crate::units::plain(cap)
-                );
-                if let Some(m) = self.machines.get_mut(&name) {
-                    m.closed = Some("surplus");
-                }
+    }
+
+    /// The leader says that all regions together can do without a machine: it
+    /// gets no more tasks and goes back once it is empty. Tasks are never moved
+    /// or stopped for it.
+    pub fn close(&mut self, machine: &str, v: &View<'_>) {
+        if let Some(m) = self.machines.get_mut(machine) {
+            if m.closed.is_none() && v.now > m.dealt_at + LEAST_AGE {
+                log::debug!("region: {machine}: closed, {} tasks left", m.tasks.len());
+                m.closed = Some(SURPLUS);
             }
         }
     }
@@ -1741,6 +1702,7 @@
                     free: m.free(),
                     tasks: m.tasks.len() as u32,
                     live: m.open(),
+                    age_us: v.now - m.dealt_at,
                 })
                 .collect(),
             waits: waits.into_iter().take(200).map(|w| w.1).collect(),
