--- a/src/leader.rs
+++ b/src/leader.rs
@@ -486,12 +486,65 @@
             }
         }
         self.close_surplus(v, &waits, &rooms);
+        self.close_kept(v, &waits, &rooms);
         self.move_waiting(v, &mut waits, &mut rooms);
         if v.now > self.began + SECOND {
             self.rent(v, &waits, &mut rooms, fleet);
         }
     }
 
+    /// The same for types that are kept for work that fits on no other: one of
+    /// several goes if the rest will be through with that work in good time.
+    fn close_kept(&mut self, v: &View<'_>, waits: &[Wait], rooms: &[Room]) {
+        if v.now < self.next_close {
+            return;
+        }
+        let mut by_type: BTreeMap<&str, Vec<&Room>> = BTreeMap::new();
+        for r in rooms.iter().filter(|r| !r.spot && r.kept.is_some()) {
+            by_type.entry(&r.flavor).or_default().push(r);
+        }
+        for (flavor, list) in by_type {
+            let Some(size) = list.first().map(|r| r.cap.0 as f64) else {
+                continue;
+            };
+            let mut work = 0.0;
+            let mut soon = Micros::MAX;
+            let mut estimate: Micros = 0;
+            for w in waits.iter().filter(|w| w.narrow.as_deref() == Some(flavor)) {
+                work += w.count as f64 * w.spec.cpus as f64 * w.spec.estimate as f64;
+                soon = soon.min(horizon(&w.spec, v));
+            }
+            for (_, _, s) in v.replica.open_jobs() {
+                if narrow_type(s, v.replica).as_deref() == Some(flavor) {
+                    soon = soon.min(horizon(s, v));
+                    estimate = estimate.max(s.estimate);
+                }
+            }
+            if soon == Micros::MAX {
+                continue; // nothing under way: the idle time decides
+            }
+            // What runs is taken to be half through.
+            let busy: f64 = list.iter().map(|r| (r.cap.0 - r.free.0) as f64).sum();
+            work += busy * estimate as f64 / 2.0;
+            if list.len() < 2 || work / (size * (list.len() - 1) as f64) > soon as f64 / 2.0 {
+                continue;
+            }
+            let emptiest = list
+                .iter()
+                .filter(|r| r.live && r.age > LEAST_AGE)
+                .max_by_key(|r| r.free.0);
+            if let Some(r) = emptiest {
+                log::debug!("leader: {}: not needed for {flavor} work", r.machine);
+                self.next_close = v.now + SECOND;
+                self.out.push(Effect::Tell(Message::Close {
+                    region: r.region.clone(),
+                    machine: r.machine.clone(),
+                }));
+                return;
+            }
+        }
+    }
+
     /// Has machines closed that all regions together can do without: of those
     /// that leave enough, the one on which the most money is spent for nothing.
     fn close_surplus(&mut self, v: &View<'_>, waits: &[Wait], rooms: &[Room]) {
--- a/src/region.rs
+++ b/src/region.rs
@@ -948,7 +948,7 @@
             self.next_tick = v.now + 250 * MILLI;
             self.settle_conflicts(v);
             self.watch_machines(v);
-            self.reopen();
+            self.reopen(v);
             self.share_out(v);
             let due: Vec<JobId> = self
                 .jobs
@@ -1309,14 +1309,16 @@
 
     /// Work waits: machines that were closed as not needed serve again, unless
     /// they are already on their way back to the cloud.
-    fn reopen(&mut self) {
+    fn reopen(&mut self, v: &View<'_>) {
         let waiting = self
             .jobs
             .values()
             .any(|j| !j.waiting.is_empty() && j.narrow_to.is_none());
         if waiting {
+            let (narrow, now) = (&self.narrow, v.now);
             for m in self.machines.values_mut() {
-                if m.closed == Some(SURPLUS) && !m.releasing {
+                let kept = !m.rec.spot && narrow.kept_for(&m.rec.flavor, now).is_some();
+                if m.closed == Some(SURPLUS) && !m.releasing && !kept {
                     m.closed = None;
                     self.dirty = true;
                 }
