--- a/src/sim.rs
+++ b/src/sim.rs
@@ -1145,6 +1145,9 @@
         match f {
             Fault::Crash(i) => {
                 if self.ctls[i].node.take().is_some() {
+                    for asker in std::mem::take(&mut self.ctls[i].conns).into_values() {
+                        self.fail(asker);
+                    }
                     let wait = [SECOND / 5, 5 * SECOND][self.rng.usize(0..2)];
                     self.at(now + wait, Ev::Boot(i));
                 }
