--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -424,6 +424,11 @@
         e.0 = now + ((4 * SECOND) << e.1).min(30 * SECOND);
     }
 
+    /// Whether any offer is left alone for now.
+    pub fn any(&self, now: Micros) -> bool {
+        self.until.values().any(|(t, _)| now < *t)
+    }
+
     /// An offer was filled.
     pub fn filled(&mut self, o: &Offer) {
         self.until.remove(o);
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -168,6 +168,11 @@
         self.out.push(Effect::Commit(txn, urgency, key));
     }
 
+    /// Whether the cloud has refused something lately.
+    pub fn refused(&self, now: Micros) -> bool {
+        self.refusals.any(now)
+    }
+
     /// A commit of ours ended, one way or the other.
     pub fn concluded(&mut self, key: &Key) {
         self.writing.remove(key);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod region;
 pub mod registry;
 pub mod settings;
+pub mod status;
 pub mod units;
 pub mod workers;
 
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -58,6 +58,63 @@
     pub counts: Vec<CountLine>,
 }
 
+/// A region on the status page.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, serde::Serialize)]
+pub struct StatusRegion {
+    /// Region.
+    pub region: String,
+    /// Owner on record.
+    pub owner: Option<String>,
+    /// Its token.
+    pub token: u64,
+    /// Whether all machines are accounted for, as last told.
+    pub settled: bool,
+    /// Machines on record.
+    pub machines: u32,
+    /// Machines open to placing, as last told.
+    pub live: u32,
+    /// Tasks that wait.
+    pub waiting: u32,
+}
+
+/// An aim on the status page.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, serde::Serialize)]
+pub struct AimLine {
+    /// What is aimed at.
+    pub aim: String,
+    /// Jobs in the window that met it.
+    pub met: u32,
+    /// Jobs in the window.
+    pub all: u32,
+    /// The share that should.
+    pub share: f64,
+    /// Whether it is behind.
+    pub behind: bool,
+}
+
+/// The status page.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, Default, serde::Serialize)]
+pub struct Status {
+    /// Host name.
+    pub name: String,
+    /// Which run of its process.
+    pub run: u64,
+    /// Who leads.
+    pub leader: Option<String>,
+    /// How long its authority still stands.
+    pub authority_us: u64,
+    /// Its state service reads are recent.
+    pub fresh: bool,
+    /// Regions.
+    pub regions: Vec<StatusRegion>,
+    /// Waiting tasks by class.
+    pub waiting: Vec<(String, u32)>,
+    /// Aims.
+    pub aims: Vec<AimLine>,
+    /// Last signals.
+    pub signals: Vec<String>,
+}
+
 /// A message between controllers.
 #[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq)]
 pub enum Message {
@@ -90,6 +147,10 @@
         /// Machine.
         machine: String,
     },
+    /// The operator's toolbox asks for the status page.
+    AskStatus,
+    /// The status page.
+    Status(Status),
 }
 
 /// A message as bytes.
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,11 +10,13 @@
 use crate::leader::{self, Leader, Reports};
 use crate::mesh::{self, Message};
 use crate::model::is_job_id;
+use crate::quota;
 use crate::reactor::{Call, CallError, CallId, ConnId, Limits, Net, NetEvent, Reactor};
 use crate::region::{self, Region, Verdict, View};
 use crate::registry::records::{value, JobRecord, Key, LeaderRecord, RegionRecord, Stage};
 use crate::registry::{GrantName, Outcome, Registry, RegistryEvent, Txn, Urgency};
 use crate::settings::Settings;
+use crate::status::{self, Aims};
 use crate::units::{Micros, MILLI, SECOND};
 use crate::workers;
 
@@ -107,6 +109,8 @@
     peers: BTreeMap<String, Peer>,
     reports: Reports,
     mesh_next: Micros,
+    aims: Aims,
+    aims_next: Micros,
     now: Micros,
     #[cfg(test)]
     hasty: bool,
@@ -189,6 +193,8 @@
                 .collect(),
             reports: Reports::new(),
             mesh_next: 0,
+            aims: Aims::new(&settings.objectives, &settings.operator),
+            aims_next: 0,
             now: 0,
             #[cfg(test)]
             hasty: false,
@@ -222,11 +228,14 @@
         match ev {
             NetEvent::Request(conn, req) => self.on_request(conn, req),
             NetEvent::Response(id, result) => self.on_response(id, result),
-            NetEvent::Frame(bytes) => {
-                if let Some(m) = mesh::decode(&bytes) {
-                    self.on_message(m);
+            NetEvent::Frame(conn, bytes) => match mesh::decode(&bytes) {
+                Some(Message::AskStatus) => {
+                    let page = mesh::encode(&Message::Status(self.status()));
+                    self.reactor.reply(conn, &page);
                 }
-            }
+                Some(m) => self.on_message(m),
+                None => {}
+            },
         }
     }
 
@@ -273,6 +282,10 @@
             self.mesh_next = self.now + MESH_EVERY;
             self.send_state();
         }
+        if self.now >= self.aims_next && self.registry.loaded() {
+            self.aims_next = self.now + 2 * SECOND;
+            self.look_at_aims();
+        }
         until = until.min(self.mesh_next);
         self.expire_waiting();
         if let Some(w) = self.waiting.iter().map(|w| w.give_up).min() {
@@ -424,7 +437,12 @@
                         r.dirty = true;
                     }
                 }
-                Key::Progress(..) | Key::Region(_) | Key::Leader | Key::Token => {}
+                Key::Progress(id, ..) => {
+                    for r in self.regions.values_mut() {
+                        r.on_progress(id, &v);
+                    }
+                }
+                Key::Region(_) | Key::Leader | Key::Token => {}
             }
         }
     }
@@ -775,6 +793,7 @@
                     r.give(&job, &to, count, &v);
                 }
             }
+            Message::AskStatus | Message::Status(_) => {}
             Message::Close { region, machine } => {
                 let v = view!(self);
                 if let Some(r) = self.regions.get_mut(&region) {
@@ -784,6 +803,99 @@
         }
     }
 
+    // --- Status ------------------------------------------------------------
+
+    /// What is wrong just now, the gravest first.
+    fn cause(&self) -> &'static str {
+        let unsettled = |(r, _): &(mesh::RegionReport, Micros)| !r.settled;
+        if self.registry.failing() {
+            "state service down"
+        } else if self.reports.len() < self.settings.size() || self.reports.values().any(unsettled)
+        {
+            "takeover under way"
+        } else if self.fleet.down() {
+            "cloud down"
+        } else if self.leader.as_ref().is_some_and(|l| l.refused(self.now)) {
+            "no capacity"
+        } else if self.regions.values().any(Region::short_of_quota) {
+            "quota"
+        } else {
+            "backlog"
+        }
+    }
+
+    /// Looks at how the aims are met; the leader tells the operators.
+    fn look_at_aims(&mut self) {
+        let guaranteed = quota::within_guarantee(&self.registry.replica, &self.settings);
+        let running: BTreeSet<&str> = self
+            .reports
+            .values()
+            .flat_map(|(r, _)| r.counts.iter().map(|c| c.job.as_str()))
+            .collect();
+        let replica = &self.registry.replica;
+        let open = replica.open_jobs().map(|(id, _, spec)| status::Seen {
+            id,
+            spec,
+            guaranteed: guaranteed.contains(id),
+            started: running.contains(id.as_str()) || replica.progress.contains_key(id),
+        });
+        let done = |id: &str| {
+            replica
+                .jobs
+                .get(id)
+                .is_some_and(|r| r.value.stage == Stage::Done)
+        };
+        let signals = self
+            .aims
+            .look(open, done, self.reactor.wall(), self.cause());
+        if self.leader.is_some() {
+            for s in signals {
+                log::warn!("status: {s}");
+            }
+        }
+    }
+
+    fn status(&mut self) -> mesh::Status {
+        let r = &self.registry.replica;
+        let mut waiting: BTreeMap<String, u32> = BTreeMap::new();
+        for (rep, _) in self.reports.values() {
+            for w in &rep.waits {
+                if let Some(s) = r.jobs.get(&w.job).and_then(|j| j.value.open()) {
+                    *waiting.entry(s.class.clone()).or_default() += w.waiting;
+                }
+            }
+        }
+        let regions = self.settings.regions().into_iter().map(|name| {
+            let rep = self.reports.get(&name).map(|(r, _)| r);
+            let rec = r.regions.get(&name).map(|r| &r.value);
+            mesh::StatusRegion {
+                owner: rec.map(|r| r.owner.clone()),
+                token: rec.map_or(0, |r| r.token),
+                settled: rep.is_some_and(|r| r.settled),
+                machines: r
+                    .machines
+                    .values()
+                    .filter(|m| m.value.region == name)
+                    .count() as u32,
+                live: rep.map_or(0, |r| r.rooms.iter().filter(|l| l.live).count() as u32),
+                waiting: rep.map_or(0, |r| r.waits.iter().map(|w| w.waiting).sum()),
+                region: name,
+            }
+        });
+        let mut page = mesh::Status {
+            name: self.settings.name.clone(),
+            run: self.run,
+            leader: r.leader.as_ref().map(|l| l.value.holder.clone()),
+            authority_us: self.registry.authority_until().saturating_sub(self.now),
+            fresh: self.fresh(),
+            regions: regions.collect(),
+            waiting: waiting.into_iter().collect(),
+            ..Default::default()
+        };
+        self.aims.fill(&mut page, self.reactor.wall());
+        page
+    }
+
     // --- Requests ----------------------------------------------------------
 
     fn refuse(&mut self, conn: ConnId, status: u16, after: u32) {
--- a/src/reactor.rs
+++ b/src/reactor.rs
@@ -45,7 +45,7 @@
     /// The end of a call.
     Response(CallId, Result<Response, CallError>),
     /// A frame from another controller.
-    Frame(Vec<u8>),
+    Frame(ConnId, Vec<u8>),
 }
 
 /// One outgoing call.
@@ -129,6 +129,8 @@
     /// Sends a frame to another controller, if there is a way just now. Frames
     /// are state, not orders that must arrive: a lost one is made good by the next.
     fn send(&mut self, peer: usize, payload: &[u8]);
+    /// Answers a frame on the connection on which it came.
+    fn reply(&mut self, id: ConnId, payload: &[u8]);
     /// Gives up every idle connection to a destination: after a cut they would
     /// only hang.
     fn reset_dest(&mut self, dest: usize);
@@ -597,8 +599,10 @@
                     }
                     let frame = c.rbuf[4..4 + n].to_vec();
                     c.rbuf.drain(..4 + n);
+                    let generation = c.generation;
                     self.set_deadline(slot, now + MESH_SILENCE);
-                    self.out.push_back(NetEvent::Frame(frame));
+                    let id = ConnId { slot, generation };
+                    self.out.push_back(NetEvent::Frame(id, frame));
                 }
                 Role::MeshOut { .. } => {
                     c.rbuf.clear();
@@ -778,6 +782,20 @@
         }
     }
 
+    fn reply(&mut self, id: ConnId, payload: &[u8]) {
+        if let Some(c) = self
+            .conns
+            .get_mut(id.slot)
+            .and_then(Option::as_mut)
+            .filter(|c| c.generation == id.generation && matches!(c.role, Role::MeshIn))
+        {
+            c.wbuf
+                .extend_from_slice(&(payload.len() as u32).to_le_bytes());
+            c.wbuf.extend_from_slice(payload);
+            self.flush(id.slot);
+        }
+    }
+
     fn wall(&self) -> Micros {
         SystemTime::now()
             .duration_since(UNIX_EPOCH)
--- a/src/region.rs
+++ b/src/region.rs
@@ -264,6 +264,10 @@
             let s = r.shares.entry(Rc::from(team.as_str())).or_default();
             s.inherited = quota::share(Some(&q.value), name);
         }
+        let ids: Vec<JobId> = r.jobs.keys().cloned().collect();
+        for id in ids {
+            r.on_progress(&id, v);
+        }
         r.try_settle(v);
         r
     }
@@ -1038,6 +1042,9 @@
                 if let Some(j) = self.jobs.get_mut(&id) {
                     j.writing = false;
                 }
+                if !done {
+                    self.on_progress(&id, v);
+                }
             }
             Purpose::Share(team) => {
                 if let Some(s) = self.shares.get_mut(team.as_str()) {
@@ -1167,6 +1174,20 @@
         ));
     }
 
+    /// Finished tasks of a job came on record, perhaps those of another region.
+    /// Guards against a job whose last tasks two regions put on record at the
+    /// same moment, neither of them seeing the other's: whoever then sees that
+    /// all are there ends it.
+    pub fn on_progress(&mut self, id: &str, v: &View<'_>) {
+        let Some((id, job)) = self.jobs.get_key_value(id) else {
+            return;
+        };
+        if v.replica.done_tasks(id).len() + job.pending.len() >= job.spec.tasks {
+            let id = id.clone();
+            self.write_progress(&id, v);
+        }
+    }
+
     /// What the region may use for a team just now.
     fn headroom(&self, team: &str, v: &View<'_>) -> Amount {
         let rec = v.replica.quotas.get(team).map(|q| &q.value);
@@ -1684,6 +1705,11 @@
         }
     }
 
+    /// Whether tasks could be placed but for their team's limit.
+    pub fn short_of_quota(&self) -> bool {
+        self.shares.values().any(|s| s.want != Amount::default())
+    }
+
     /// The region as told to the other controllers.
     pub fn report(&self, v: &View<'_>) -> RegionReport {
         let mut waits: Vec<_> = self
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -232,6 +232,12 @@
     pub horizon: Option<Micros>,
     /// Processors kept beyond those in use, as a share of these.
     pub headroom: f64,
+    /// The time over which aims are measured for signals.
+    pub alert_window: Micros,
+    /// The fewest jobs in it before a signal is given.
+    pub alert_least: u32,
+    /// How far above an aim it must be to count as met again, as a share.
+    pub alert_margin: f64,
 }
 
 impl Default for Operator {
@@ -241,6 +247,9 @@
             idle: None,
             horizon: None,
             headroom: 0.3,
+            alert_window: 300 * units::SECOND,
+            alert_least: 5,
+            alert_margin: 0.05,
         }
     }
 }
@@ -492,15 +501,16 @@
     for (section, props) in ini.iter() {
         for (key, value) in props.iter() {
             let field = format!("{}.{key}", section.unwrap_or(""));
-            let seconds = |low: f64, high: f64| -> Result<Micros, SettingsError> {
+            let number = |low: f64, high: f64| -> Result<f64, SettingsError> {
                 match value.trim().parse::<f64>() {
-                    Ok(s) if (low..=high).contains(&s) => Ok(units::secs(s)),
+                    Ok(s) if (low..=high).contains(&s) => Ok(s),
                     _ => Err(bad(
                         field.clone(),
                         format!("\"{value}\" is not a number from {low} to {high}"),
                     )),
                 }
             };
+            let seconds = |low: f64, high: f64| number(low, high).map(units::secs);
             match (section, key) {
                 (Some("classes"), "precedence") => {
                     op.precedence = value
@@ -511,18 +521,11 @@
                 }
                 (Some("renting"), "idle_s") => op.idle = Some(seconds(1.0, 3600.0)?),
                 (Some("renting"), "horizon_s") => op.horizon = Some(seconds(1.0, 3600.0)?),
-                (Some("renting"), "headroom") => {
-                    op.headroom = match value.trim().parse::<f64>() {
-                        Ok(x) if (0.0..=10.0).contains(&x) => x,
-                        _ => {
-                            return Err(bad(
-                                field,
-                                format!("\"{value}\" is not a number from 0 to 10"),
-                            ))
-                        }
-                    }
-                }
-                _ => return Err(bad(field, "unknown key".into())),
+                (Some("renting"), "headroom") => op.headroom = number(0.0, 10.0)?,
+                (Some("alerts"), "window_s") => op.alert_window = seconds(10.0, 86_400.0)?,
+                (Some("alerts"), "least_jobs") => op.alert_least = number(1.0, 1e6)? as u32,
+                (Some("alerts"), "margin") => op.alert_margin = number(0.0, 1.0)?,
+                _ => return Err(bad(field.clone(), "unknown key".into())),
             }
         }
     }
--- a/src/sim.rs
+++ b/src/sim.rs
@@ -57,6 +57,7 @@
             .out
             .push(Out::Send(peer, payload.to_vec()));
     }
+    fn reply(&mut self, _id: ConnId, _payload: &[u8]) {}
     fn reset_dest(&mut self, _dest: usize) {}
 }
 
@@ -363,7 +364,11 @@
             }
             Ev::Frame(i, b) => {
                 if self.ctls[i].node.is_some() {
-                    self.drive(i, Some(NetEvent::Frame(b)));
+                    let id = ConnId {
+                        slot: 0,
+                        generation: 0,
+                    };
+                    self.drive(i, Some(NetEvent::Frame(id, b)));
                 }
             }
             Ev::Report(m, timer) => self.report(&m, timer),
@@ -1257,46 +1262,61 @@
     w
 }
 
+/// Plays a day; every rule must hold, and every job be over in the end.
+fn check(seed: u64) -> u32 {
+    let p = plan(seed);
+    let w = play(&p, false);
+    assert!(
+        w.broken.is_empty(),
+        "seed {seed}: {:?}, faults {:?}",
+        w.broken,
+        p.faults
+    );
+    for (id, j) in &w.jobs {
+        let over = j.done_told || j.cancel_told.is_some();
+        assert!(
+            j.accepted && over,
+            "seed {seed}: {id} not over, {} of {} done, {}, records {:?}, faults {:?}",
+            j.done.len(),
+            j.tasks,
+            j.spec,
+            w.store
+                .data
+                .iter()
+                .filter(|(k, _)| k.contains(id.as_str())
+                    || k.contains("region")
+                    || k.contains("machine")
+                    || k.contains("quota"))
+                .map(|(k, v)| format!("{k} {}", v.0))
+                .collect::<Vec<_>>(),
+            p.faults
+        );
+    }
+    w.starts
+}
+
 /// Seeded days with faults of all kinds keep every rule, and when the faults are
 /// over the work gets done.
 #[test]
 fn days_with_faults_keep_the_rules() {
     let mut starts = 0;
     for seed in seeds() {
-        let p = plan(seed);
-        let w = play(&p, false);
-        assert!(
-            w.broken.is_empty(),
-            "seed {seed}: {:?}, faults {:?}",
-            w.broken,
-            p.faults
-        );
-        for (id, j) in &w.jobs {
-            let over = j.done_told || j.cancel_told.is_some();
-            assert!(
-                j.accepted && over,
-                "seed {seed}: {id} not over, {} of {} done, {}, records {:?}, faults {:?}",
-                j.done.len(),
-                j.tasks,
-                j.spec,
-                w.store
-                    .data
-                    .iter()
-                    .filter(|(k, _)| k.contains(id.as_str())
-                        || k.contains("region")
-                        || k.contains("machine")
-                        || k.contains("quota"))
-                    .map(|(k, v)| format!("{k} {}", v.0))
-                    .collect::<Vec<_>>(),
-                p.faults
-            );
-        }
-        starts += w.starts;
+        starts += check(seed);
     }
     let least = 50 * seeds().end();
     assert!(starts as u64 > least, "only {starts} starts");
 }
 
+/// Days on which something once went wrong stay right: seed 438 had the last
+/// tasks of a job put on record by two regions at the same moment, and nobody
+/// said that it was done.
+#[test]
+fn days_that_once_failed() {
+    for seed in [23, 438] {
+        check(seed);
+    }
+}
+
 /// The same days catch a planted fault: owners that don't account for a former
 /// owner's machines before they start its tasks again.
 #[test]
--- /dev/null
+++ b/src/status.rs
@@ -0,0 +1,456 @@
+//! How the service does by the users' aims, and what operators are told: one
+//! warning when an aim falls behind, one line when it is met again, and the
+//! status page that `salttiller status` asks for.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::mesh::{AimLine, Status};
+use crate::model::JobSpec;
+use crate::settings::{Objective, Operator};
+use crate::units::{to_secs, Micros, SECOND};
+
+/// Counts over a sliding window, kept in slices so that old ones drop off.
+#[derive(Debug, Default)]
+struct Window {
+    slices: VecDeque<(u64, u32, u32)>,
+}
+
+impl Window {
+    fn add(&mut self, slice: u64, met: bool) {
+        if self.slices.back().is_none_or(|s| s.0 != slice) {
+            self.slices.push_back((slice, 0, 0));
+        }
+        if let Some(s) = self.slices.back_mut() {
+            s.1 += u32::from(met);
+            s.2 += 1;
+        }
+    }
+
+    /// Met and all, after dropping what is older than `oldest`.
+    fn counts(&mut self, oldest: u64) -> (u32, u32) {
+        while self.slices.front().is_some_and(|s| s.0 < oldest) {
+            self.slices.pop_front();
+        }
+        self.slices
+            .iter()
+            .fold((0, 0), |a, s| (a.0 + s.1, a.1 + s.2))
+    }
+}
+
+/// Whether an aim is being met.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Standing {
+    Met,
+    Behind,
+}
+
+struct Aim {
+    objective: Objective,
+    window: Window,
+    standing: Standing,
+}
+
+impl Aim {
+    fn name(&self) -> String {
+        let class = self.objective.class.as_deref().unwrap_or("all classes");
+        match self.objective.within {
+            Some(w) => format!(
+                "{class}, {} within {:.0} s",
+                self.objective.kind,
+                to_secs(w)
+            ),
+            None => format!("{class}, {}", self.objective.kind),
+        }
+    }
+}
+
+struct Track {
+    submitted: Micros,
+    deadline: Option<Micros>,
+    class: String,
+    guaranteed: bool,
+    started: Option<Micros>,
+    judged: BTreeSet<usize>,
+}
+
+/// A job as it is seen just now.
+pub struct Seen<'a> {
+    /// Name.
+    pub id: &'a str,
+    /// Submission.
+    pub spec: &'a JobSpec,
+    /// Fits into its team's guarantee.
+    pub guaranteed: bool,
+    /// Some task of it runs or has run.
+    pub started: bool,
+}
+
+/// The aims, and what is known of the jobs that count for them.
+pub struct Aims {
+    aims: Vec<Aim>,
+    jobs: BTreeMap<String, Track>,
+    slice: Micros,
+    least: u32,
+    margin: f64,
+    signals: VecDeque<String>,
+}
+
+const SLICES: u64 = 10;
+const SIGNALS_KEPT: usize = 10;
+
+impl Aims {
+    /// The aims of the settings, with the operators' thresholds.
+    pub fn new(objectives: &[Objective], op: &Operator) -> Self {
+        Aims {
+            aims: objectives
+                .iter()
+                .filter(|o| {
+                    matches!(
+                        o.kind.as_str(),
+                        "wait" | "finished" | "deadline" | "guarantee"
+                    )
+                })
+                .map(|o| Aim {
+                    objective: o.clone(),
+                    window: Window::default(),
+                    standing: Standing::Met,
+                })
+                .collect(),
+            jobs: BTreeMap::new(),
+            slice: (op.alert_window / SLICES).max(SECOND),
+            least: op.alert_least,
+            margin: op.alert_margin,
+            signals: VecDeque::new(),
+        }
+    }
+
+    /// Takes a look at the open jobs. `done` says whether one that is no longer
+    /// open was done (and not cancelled); `wall` is the time of day, `cause` what
+    /// is wrong just now. Returns the signals to give.
+    pub fn look<'a>(
+        &mut self,
+        open: impl Iterator<Item = Seen<'a>>,
+        done: impl Fn(&str) -> bool,
+        wall: Micros,
+        cause: &str,
+    ) -> Vec<String> {
+        let mut here = BTreeSet::new();
+        for s in open {
+            here.insert(s.id.to_owned());
+            let t = self.jobs.entry(s.id.to_owned()).or_insert_with(|| Track {
+                submitted: s.spec.submitted,
+                deadline: s.spec.deadline,
+                class: s.spec.class.clone(),
+                guaranteed: s.guaranteed,
+                started: None,
+                judged: BTreeSet::new(),
+            });
+            if s.started {
+                t.started.get_or_insert(wall);
+            }
+        }
+        let gone: Vec<String> = self
+            .jobs
+            .keys()
+            .filter(|id| !here.contains(*id))
+            .cloned()
+            .collect();
+        for (id, t) in self.jobs.iter_mut() {
+            let finished = (!here.contains(id) && done(id)).then_some(wall);
+            if !here.contains(id) && finished.is_none() {
+                continue; // cancelled: counts for nothing
+            }
+            for (i, a) in self.aims.iter_mut().enumerate() {
+                if let Some(met) = judge(&a.objective, t, finished, wall) {
+                    if t.judged.insert(i) {
+                        a.window.add(wall / self.slice, met);
+                    }
+                }
+            }
+        }
+        for id in gone {
+            self.jobs.remove(&id);
+        }
+        let oldest = (wall / self.slice).saturating_sub(SLICES - 1);
+        let mut out = Vec::new();
+        for a in &mut self.aims {
+            let (met, all) = a.window.counts(oldest);
+            let aim = a.objective.share;
+            let share = if all == 0 {
+                1.0
+            } else {
+                met as f64 / all as f64
+            };
+            let next = match a.standing {
+                Standing::Met if all >= self.least && share < aim => Standing::Behind,
+                // Some way above the aim, so that it doesn't flap about it; with
+                // nothing left in the window there is nothing behind either.
+                Standing::Behind if all == 0 || share >= (aim + self.margin).min(1.0) => {
+                    Standing::Met
+                }
+                same => same,
+            };
+            if next != a.standing {
+                a.standing = next;
+                let figures = format!("{:.0}% of {all}, aim {:.0}%", share * 100.0, aim * 100.0);
+                out.push(match next {
+                    Standing::Behind => {
+                        format!("aim behind: {}: {figures}, likely cause: {cause}", a.name())
+                    }
+                    Standing::Met => format!("aim met again: {}: {figures}", a.name()),
+                });
+            }
+        }
+        for s in &out {
+            if self.signals.len() == SIGNALS_KEPT {
+                self.signals.pop_front();
+            }
+            self.signals.push_back(s.clone());
+        }
+        out
+    }
+
+    /// Fills in the aims' part of the status page.
+    pub fn fill(&mut self, status: &mut Status, wall: Micros) {
+        let oldest = (wall / self.slice).saturating_sub(SLICES - 1);
+        status.aims = self
+            .aims
+            .iter_mut()
+            .map(|a| {
+                let (met, all) = a.window.counts(oldest);
+                AimLine {
+                    aim: a.name(),
+                    met,
+                    all,
+                    share: a.objective.share,
+                    behind: a.standing == Standing::Behind,
+                }
+            })
+            .collect();
+        status.signals = self.signals.iter().cloned().collect();
+    }
+}
+
+/// Whether a job met an objective; `None` while that is open, or if it doesn't
+/// count for it.
+fn judge(o: &Objective, t: &Track, finished: Option<Micros>, wall: Micros) -> Option<bool> {
+    if o.class.as_ref().is_some_and(|c| *c != t.class) || (o.kind == "guarantee" && !t.guaranteed) {
+        return None;
+    }
+    let (event, by) = match o.kind.as_str() {
+        "wait" | "guarantee" => (t.started.or(finished), t.submitted + o.within?),
+        "finished" => (finished, t.submitted + o.within?),
+        _ => (finished, t.submitted + t.deadline?),
+    };
+    match event {
+        Some(at) => Some(at <= by),
+        None => (wall > by).then_some(false),
+    }
+}
+
+/// The status page as text.
+pub fn text(s: &Status) -> String {
+    use std::fmt::Write;
+    let mut out = String::new();
+    let yes = |b: bool| if b { "yes" } else { "no" };
+    let _ = writeln!(out, "{} (run {})", s.name, s.run);
+    let _ = writeln!(
+        out,
+        "  leader: {}",
+        s.leader.as_deref().unwrap_or("none known")
+    );
+    let _ = writeln!(
+        out,
+        "  authority for {:.1} s, reads recent: {}",
+        to_secs(s.authority_us),
+        yes(s.fresh)
+    );
+    for r in &s.regions {
+        let _ = writeln!(
+            out,
+            "  region {}: owner {}, token {}, settled: {}, machines {} ({} open), waiting tasks {}",
+            r.region,
+            r.owner.as_deref().unwrap_or("none"),
+            r.token,
+            yes(r.settled),
+            r.machines,
+            r.live,
+            r.waiting
+        );
+    }
+    for (class, n) in &s.waiting {
+        let _ = writeln!(out, "  waiting, {class}: {n}");
+    }
+    for a in &s.aims {
+        let state = if a.behind { "BEHIND" } else { "ok" };
+        let _ = writeln!(
+            out,
+            "  aim {}: {} of {} (aim {:.0}%) {state}",
+            a.aim,
+            a.met,
+            a.all,
+            a.share * 100.0
+        );
+    }
+    for l in &s.signals {
+        let _ = writeln!(out, "  signal: {l}");
+    }
+    out
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn aims(margin: f64) -> Aims {
+        let o = |kind: &str, class: Option<&str>, share: f64| Objective {
+            kind: kind.into(),
+            class: class.map(Into::into),
+            within: Some(10 * SECOND),
+            share,
+        };
+        let op = Operator {
+            alert_window: 100 * SECOND,
+            alert_least: 3,
+            alert_margin: margin,
+            ..Operator::default()
+        };
+        Aims::new(
+            &[
+                o("wait", Some("x"), 0.5),
+                o("guarantee", None, 0.5),
+                o("useful", None, 0.9),
+            ],
+            &op,
+        )
+    }
+
+    fn spec(class: &str, submitted: Micros) -> JobSpec {
+        let (_, mut s) = crate::intake::parse_submission(
+            &rmp_serde::to_vec(&serde_json::json!({"nameId":"req-1","crop":class,"crew":"t","furrow":"batch",
+                "rank":"standard","sheaves":1,"cores":1,"cards":0,"memoryGb":1,"seed":"i","sizeGb":1,
+                "samePlace":false,"spread":false,"fallow":false,"growthS":1,"stookS":0,"bindS":0}))
+            .unwrap(),
+            submitted,
+        )
+        .unwrap();
+        s.submitted = submitted;
+        s
+    }
+
+    /// One signal when an aim falls behind, none while it stays so, one when it
+    /// is well met again; what is older than the window no longer counts.
+    #[test]
+    fn signals_come_once() {
+        let mut a = aims(0.1);
+        let t0 = 1000 * SECOND;
+        let mut jobs: Vec<(String, JobSpec, bool)> = Vec::new();
+        let mut signals = Vec::new();
+        for step in 0..60u64 {
+            let now = t0 + step * 5 * SECOND;
+            // For the first 100 s nothing starts, later all does at once.
+            let started = step > 20;
+            jobs.push((format!("req-{step}"), spec("x", now), started));
+            if jobs.len() > 8 {
+                jobs.remove(0);
+            }
+            let open = jobs.iter().map(|(id, s, st)| Seen {
+                id,
+                spec: s,
+                guaranteed: false,
+                started: *st,
+            });
+            signals.extend(a.look(open, |_| true, now, "no capacity"));
+        }
+        assert_eq!(signals.len(), 2, "{signals:?}");
+        assert!(signals[0].contains("aim behind: x, wait within 10 s: 0% of"));
+        assert!(signals[0].ends_with("likely cause: no capacity"));
+        assert!(signals[1].starts_with("aim met again"));
+    }
+
+    #[test]
+    fn jobs_count_where_they_should() {
+        let t = |class: &str, guaranteed, started| Track {
+            submitted: 0,
+            deadline: Some(30 * SECOND),
+            class: class.into(),
+            guaranteed,
+            started,
+            judged: BTreeSet::new(),
+        };
+        let o = |kind: &str, class: Option<&str>| Objective {
+            kind: kind.into(),
+            class: class.map(Into::into),
+            within: Some(10 * SECOND),
+            share: 0.5,
+        };
+        let s = SECOND;
+        for (kind, class, track, finished, wall, want) in [
+            (
+                "wait",
+                Some("x"),
+                t("x", false, Some(9 * s)),
+                None,
+                9 * s,
+                Some(true),
+            ),
+            (
+                "wait",
+                Some("x"),
+                t("x", false, Some(11 * s)),
+                None,
+                11 * s,
+                Some(false),
+            ),
+            ("wait", Some("x"), t("x", false, None), None, 9 * s, None),
+            (
+                "wait",
+                Some("x"),
+                t("x", false, None),
+                None,
+                11 * s,
+                Some(false),
+            ),
+            ("wait", Some("y"), t("x", false, None), None, 11 * s, None),
+            ("guarantee", None, t("x", false, None), None, 11 * s, None),
+            (
+                "guarantee",
+                None,
+                t("x", true, None),
+                None,
+                11 * s,
+                Some(false),
+            ),
+            (
+                "finished",
+                Some("x"),
+                t("x", true, Some(1)),
+                Some(9 * s),
+                9 * s,
+                Some(true),
+            ),
+            (
+                "deadline",
+                Some("x"),
+                t("x", true, Some(1)),
+                Some(29 * s),
+                29 * s,
+                Some(true),
+            ),
+            (
+                "deadline",
+                Some("x"),
+                t("x", true, Some(1)),
+                None,
+                31 * s,
+                Some(false),
+            ),
+        ] {
+            assert_eq!(
+                judge(&o(kind, class), &track, finished, wall),
+                want,
+                "{kind} {wall}"
+            );
+        }
+    }
+}
