--- a/src/region.rs
+++ b/src/region.rs
@@ -218,6 +218,8 @@
 }
 
 const SLACK: Micros = SECOND;
+/// For how many waiting jobs shares are taken ahead of room.
+const AHEAD: usize = 3;
 const SURPLUS: &str = "surplus";
 /// A machine costs a minute at least: it isn't returned before it is nearly over.
 pub const LEAST_AGE: Micros = 50 * SECOND;
@@ -1514,12 +1516,17 @@
             .map(|(id, j)| (self.order_key(id, &j.spec, v), id.clone()))
             .collect();
         order.sort();
+        let mut ahead = 0;
         for (_, id) in order {
             if self.jobs[&id].spec.kind == Kind::Gang {
                 self.place_gang(&id, v);
             } else {
                 self.place_tasks(&id, v);
             }
+            if ahead < AHEAD && !self.jobs[&id].waiting.is_empty() {
+                ahead += 1;
+                self.prepare(&id);
+            }
         }
         // What was found wanting is asked for at once.
         if self.shares.values().any(|s| s.want != Amount::default()) {
@@ -1592,6 +1599,27 @@
         best.map(|(_, n)| n.clone())
     }
 
+    /// Asks for the share that the next jobs in line will need, before there is
+    /// room for them. Guards against a machine that falls free and then stands
+    /// idle for a report's interval, because the next task on it is of a team
+    /// whose share must first be taken.
+    fn prepare(&mut self, id: &JobId) {
+        let job = &self.jobs[id];
+        let n = match job.spec.kind {
+            Kind::Gang => job.spec.tasks,
+            _ => job.waiting.len().min(16),
+        };
+        let need = job.spec.amount().times(n.into());
+        let s = self
+            .shares
+            .entry(Rc::from(job.spec.team.as_str()))
+            .or_default();
+        s.want = Amount {
+            cpus: s.want.cpus.max(need.cpus),
+            gpus: s.want.gpus.max(need.gpus),
+        };
+    }
+
     fn place_tasks(&mut self, id: &JobId, v: &View<'_>) {
         let none = BTreeMap::new();
         loop {
