--- a/src/leader.rs
+++ b/src/leader.rs
@@ -828,16 +828,22 @@
         return h;
     }
     let mut left = 120 * SECOND;
+    // An aim that is out of reach, or past, is no reason to hurry.
+    let mut aim = |span: Micros| {
+        if s.submitted + span > v.wall {
+            left = left.min(span);
+        }
+    };
     if let Some(d) = s.deadline {
-        left = left.min(d.saturating_sub(s.estimate));
+        aim(d.saturating_sub(s.estimate));
     }
     for o in &v.settings.objectives {
         if o.class.as_deref() != Some(s.class.as_str()) {
             continue;
         }
         match (o.kind.as_str(), o.within) {
-            ("wait", Some(w)) => left = left.min(w),
-            ("finished", Some(w)) => left = left.min(w.saturating_sub(s.estimate)),
+            ("wait", Some(w)) => aim(w),
+            ("finished", Some(w)) => aim(w.saturating_sub(s.estimate)),
             _ => {}
         }
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -850,7 +850,11 @@
             .look(open, done, self.reactor.wall(), self.cause());
         if self.leader.is_some() {
             for s in signals {
-                log::warn!("status: {s}");
+                if s.starts_with("aim behind") {
+                    log::warn!("status: {s}");
+                } else {
+                    log::info!("status: {s}");
+                }
             }
         }
     }
