--- a/src/region.rs
+++ b/src/region.rs
@@ -557,7 +557,10 @@
                 Some(h) if h.place == Place::Assigned => {
                     self.shift(id, n, Place::Waiting, None, v.now)
                 }
-                Some(h) => h.stop = Some(0),
+                // One that is told to save already may finish that.
+                Some(h) => {
+                    h.stop.get_or_insert(0);
+                }
                 None => {}
             }
         }
@@ -966,6 +969,7 @@
             self.next_tick = v.now + 250 * MILLI;
             self.settle_conflicts(v);
             self.watch_machines(v);
+            self.save_before_notice(v);
             self.reopen(v);
             self.share_out(v);
             let due: Vec<JobId> = self
@@ -1269,6 +1273,48 @@
         }
     }
 
+    /// Has tasks that can save stopped in good time on machines that the cloud
+    /// is about to take; the others run on as long as they can. A gang's tasks are
+    /// told together, since it can only save as a whole.
+    fn save_before_notice(&mut self, v: &View<'_>) {
+        let mut stop: BTreeSet<JobId> = BTreeSet::new();
+        for m in self.machines.values() {
+            let Some(at) = m.notice else { continue };
+            for (id, _) in m.tasks.keys() {
+                let Some(job) = self.jobs.get(id) else {
+                    continue;
+                };
+                // Told at its next report, and all of a gang at theirs.
+                let needs = job.spec.save + 2 * v.settings.report + SECOND;
+                if job.spec.checkpoint > 0 && !job.over && at < v.now + needs {
+                    stop.insert(id.clone());
+                }
+            }
+        }
+        for id in stop {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            let (gang, save) = (job.spec.kind == Kind::Gang, job.spec.save);
+            for (n, name) in job.out.clone() {
+                let Some(m) = self.machines.get_mut(&name) else {
+                    continue;
+                };
+                if !gang && m.notice.is_none() {
+                    continue;
+                }
+                if let Some(h) = m.tasks.get_mut(&(id.clone(), n)) {
+                    if h.stop.is_none() {
+                        log::info!(
+                            "region: {id}/{n}: to be saved, its machine or a mate's is taken"
+                        );
+                        h.stop = Some(save + SECOND);
+                    }
+                }
+            }
+        }
+    }
+
     /// Finds machines that are silent, idle or in the way.
     fn watch_machines(&mut self, v: &View<'_>) {
         let mut clear = Vec::new();
