--- a/src/region.rs
+++ b/src/region.rs
@@ -596,6 +596,10 @@
         if r.order <= m.order {
             return Verdict::Stale;
         }
+        // A report that a machine sent before the cloud took it back.
+        if m.gone {
+            return Verdict::Stranger;
+        }
         if r.token > self.token {
             return Verdict::Outranked;
         }
@@ -1325,8 +1329,22 @@
             .filter(|j| !j.waiting.is_empty())
             .map(|j| (j.spec.clone(), j.narrow_to.is_some()))
             .collect();
+        // A few machines that fall silent among others that report are gone or
+        // cut off: the cloud's answer to their return proves them empty long
+        // before their lease would. Were most silent, the fault would be ours.
+        let opened = self
+            .machines
+            .values()
+            .filter(|m| m.rec.opened && !m.gone)
+            .count();
+        let heard = self
+            .machines
+            .values()
+            .filter(|m| m.standing == Standing::Live && v.now < m.heard_at + 3 * v.settings.report)
+            .count();
+        let others_report = heard * 2 >= opened;
         for (name, m) in self.machines.iter_mut() {
-            if m.gone || m.releasing {
+            if m.gone {
                 continue;
             }
             // Nobody else can have answered it since we took the region, and
@@ -1346,6 +1364,21 @@
                 m.releasing = true;
                 continue;
             }
+            let unheard = v.now.saturating_sub(m.heard_at);
+            if m.rec.opened
+                && m.standing != Standing::Empty
+                && others_report
+                && unheard > 5 * v.settings.report
+            {
+                log::info!(
+                    "region: {name}: unheard for {:.0} s, returned",
+                    to_secs(unheard)
+                );
+                m.closed = Some("silent");
+                release.push(name.clone());
+                m.releasing = true;
+                continue;
+            }
             if m.standing == Standing::Expected
                 && !m.rec.opened
                 && v.now > m.dealt_at + 3 * m.boot + 30 * SECOND
@@ -1924,3 +1957,209 @@
         _ => None,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::workers::ReportedTask;
+    use serde_json::json;
+
+    struct Fixture {
+        replica: Replica,
+        settings: Settings,
+        rev: u64,
+    }
+
+    impl Fixture {
+        fn new() -> Self {
+            let mut f = Fixture {
+                replica: Replica::default(),
+                settings: Settings::parse("f", &crate::settings::tests::sample()).unwrap(),
+                rev: 0,
+            };
+            f.put(
+                "st/flavor/box",
+                json!({"name":"box","cpus":4_000_000,"gpus":0,"mem":9_000_000,"fetch":1,
+                "price":1,"spot_price":1,"boot":10_000_000,"zones":["a"]}),
+            );
+            f
+        }
+        fn put(&mut self, key: &str, v: serde_json::Value) {
+            self.rev += 1;
+            self.replica.event(key, Some(v), self.rev).unwrap();
+            self.replica.reached(self.rev);
+        }
+        fn machine(&mut self, name: &str) {
+            let v = json!({"region":"t-0","flavor":"box","zone":"a","spot":false,"opened":true});
+            self.put(&format!("st/machine/{name}"), v);
+        }
+        fn job(&mut self, id: &str, team: &str, class: &str, rank: &str, tasks: u32, at: u64) {
+            let v = json!({"st":"o","b":[[0,tasks,"t-0"]],"j":{"c":class,"t":team,"k":"a","r":rank,"n":tasks,
+                "u":2_000_000,"m":1_000_000,"i":"img","e":5_000_000,"a":at}});
+            self.put(&format!("st/job/{id}"), v);
+        }
+        fn share(&mut self, team: &str, cpus: u64) {
+            self.put(&format!("st/quota/{team}"), json!({"t-0":[cpus,0]}));
+        }
+        fn view(&self, now: Micros) -> View<'_> {
+            View {
+                replica: &self.replica,
+                settings: &self.settings,
+                now,
+                wall: now,
+            }
+        }
+        fn take(&self, token: u64, now: Micros) -> Region {
+            Region::new("t-0", token, 1, &self.view(now))
+        }
+    }
+
+    fn report(machine: &str, tally: u64, token: u64, tasks: &[(&str, u32, u64)]) -> Report {
+        Report {
+            machine: machine.into(),
+            flavor: "box".into(),
+            zone: "a".into(),
+            spot: false,
+            order: (1, tally),
+            token,
+            notice: None,
+            tasks: tasks
+                .iter()
+                .map(|(j, n, a)| ReportedTask {
+                    job: Rc::from(*j),
+                    task: *n,
+                    attempt: *a,
+                    stage: OnMachine::Running,
+                })
+                .collect(),
+        }
+    }
+
+    fn starts(v: &Verdict) -> usize {
+        match v {
+            Verdict::Commands(c) => c.iter().filter(|c| matches!(c, Command::Start(..))).count(),
+            _ => 0,
+        }
+    }
+
+    /// What a former owner may have started waits for every machine; reports that
+    /// are late, repeated or under another token change nothing.
+    #[test]
+    fn taking_over() {
+        let mut f = Fixture::new();
+        f.machine("m-1");
+        f.machine("m-2");
+        f.job("req-1", "red", "x", "1", 2, 0);
+        f.share("red", 8_000_000);
+        let mut r = f.take(7, SECOND);
+        let at = |s: u64| f.view(s * SECOND);
+        // First word comes under the old token: nothing is concluded from it.
+        assert_eq!(
+            r.on_report(&report("m-1", 1, 6, &[("req-1", 0, 5)]), &at(2)),
+            Verdict::Commands(vec![])
+        );
+        assert_eq!(starts(&r.on_report(&report("m-1", 2, 7, &[]), &at(3))), 0);
+        assert!(!r.settled());
+        assert_eq!(
+            r.on_report(&report("m-1", 2, 7, &[]), &at(4)),
+            Verdict::Stale
+        );
+        assert_eq!(
+            r.on_report(&report("m-1", 3, 8, &[]), &at(4)),
+            Verdict::Outranked
+        );
+        assert_eq!(
+            r.on_report(&report("m-9", 1, 7, &[]), &at(4)),
+            Verdict::Stranger
+        );
+        // The other machine has task 1 of the old owner: it stays, task 0 starts.
+        r.on_report(&report("m-2", 1, 7, &[("req-1", 1, 5)]), &at(5));
+        assert!(r.settled());
+        assert_eq!(r.running("req-1"), 2);
+        assert_eq!(starts(&r.on_report(&report("m-1", 4, 7, &[]), &at(6))), 1);
+        // Not in the next report: the start was not carried out, and goes anew.
+        assert_eq!(starts(&r.on_report(&report("m-1", 5, 7, &[]), &at(9))), 1);
+    }
+
+    /// One silent machine among others goes back; when all are silent, the fault
+    /// is ours and only their leases tell.
+    #[test]
+    fn silent_machines() {
+        for (reporting, released) in [(&["m-1", "m-2"][..], true), (&[][..], false)] {
+            let mut f = Fixture::new();
+            for m in ["m-1", "m-2", "m-3"] {
+                f.machine(m);
+            }
+            let mut r = f.take(7, SECOND);
+            for s in (2..17).step_by(2) {
+                let v = f.view(s * SECOND);
+                for m in reporting {
+                    r.on_report(&report(m, s, 7, &[]), &v);
+                }
+                r.tick(&v);
+            }
+            r.tick(&f.view(17 * SECOND));
+            let got = r
+                .take_effects()
+                .into_iter()
+                .any(|e| matches!(e, Effect::Release(names) if names == ["m-3"]));
+            assert_eq!(got, released, "{reporting:?}");
+            assert!(!r.settled());
+            if released {
+                r.on_released(&["m-3".into()], true, &f.view(17 * SECOND));
+            }
+            assert_eq!(r.settled(), released);
+            r.tick(&f.view(19 * SECOND));
+            assert!(r.settled(), "past the lease all is clear");
+        }
+    }
+
+    /// A share is asked for before there is room, so that a machine that falls
+    /// free doesn't wait for it.
+    #[test]
+    fn shares_are_taken_ahead() {
+        let mut f = Fixture::new();
+        f.machine("m-1");
+        let mut r = f.take(7, SECOND);
+        r.on_report(&report("m-1", 1, 7, &[]), &f.view(2 * SECOND));
+        r.take_effects();
+        f.job("req-1", "red", "x", "1", 2, 0);
+        f.share("red", 4_000_000);
+        r.on_job("req-1", &f.view(2 * SECOND), false);
+        r.place(&f.view(2 * SECOND));
+        assert_eq!(r.running("req-1"), 2);
+        f.job("req-2", "blue", "x", "1", 1, 0);
+        r.on_job("req-2", &f.view(3 * SECOND), false);
+        r.place(&f.view(3 * SECOND));
+        let asked = r
+            .take_effects()
+            .into_iter()
+            .any(|e| matches!(e, Effect::Commit(_, _, Purpose::Share(t)) if t == "blue"));
+        assert!(asked);
+    }
+
+    /// Guarantee, then rank, then the operators' precedence, then the aims.
+    #[test]
+    fn order_of_waiting_jobs() {
+        let mut f = Fixture::new();
+        f.settings.operator.precedence = vec!["first".into(), "second".into()];
+        // Red is guaranteed 4 processors: its first job fits, the others don't.
+        for (i, (id, class, rank, tasks)) in [
+            ("req-1", "other", "1", 2),
+            ("req-2", "second", "1", 2),
+            ("req-3", "first", "1", 2),
+            ("req-4", "other", "3", 2),
+            ("req-5", "other", "1", 1),
+        ]
+        .into_iter()
+        .enumerate()
+        {
+            f.job(id, "red", class, rank, tasks, i as u64);
+        }
+        let mut r = f.take(7, SECOND);
+        let v = f.view(SECOND);
+        r.place(&v);
+        let order: Vec<String> = r.report(&v).waits.into_iter().map(|w| w.job).collect();
+        assert_eq!(order, ["req-1", "req-4", "req-3", "req-2", "req-5"]);
+    }
+}
