--- a/src/region.rs
+++ b/src/region.rs
@@ -1684,11 +1684,35 @@
     /// whose share must first be taken.
     fn prepare(&mut self, id: &JobId) {
         let job = &self.jobs[id];
-        let n = match job.spec.kind {
-            Kind::Gang => job.spec.tasks,
-            _ => job.waiting.len().min(16),
+        let spec = &job.spec;
+        // No more than the region's machines could hold: a share kept for tasks
+        // that can't run here is lacking where they can.
+        let part = |room: u64, need: u64| room.checked_div(need).unwrap_or(u64::MAX);
+        let most = self
+            .machines
+            .values()
+            .filter(|m| {
+                m.open()
+                    && (spec.spot || !m.rec.spot)
+                    && spec.zone.as_ref().is_none_or(|z| *z == m.rec.zone)
+                    && spec
+                        .types
+                        .as_ref()
+                        .is_none_or(|t| t.contains(&m.rec.flavor))
+            })
+            .map(|m| {
+                part(m.cap.0, spec.cpus)
+                    .min(part(m.cap.1, spec.gpus))
+                    .min(part(m.cap.2, spec.mem))
+                    .min(spec.tasks.into())
+            })
+            .sum::<u64>();
+        let n = match spec.kind {
+            Kind::Gang if most < spec.tasks.into() => 0,
+            Kind::Gang => spec.tasks.into(),
+            _ => most.min(job.waiting.len().min(16).into()),
         };
-        let need = job.spec.amount().times(n.into());
+        let need = spec.amount().times(n);
         let s = self
             .shares
             .entry(Rc::from(job.spec.team.as_str()))
