--- a/src/sim.rs
+++ b/src/sim.rs
@@ -73,6 +73,7 @@
     User {
         job: String,
         what: What,
+        sent: Micros,
     },
 }
 
@@ -172,6 +173,7 @@
     cancel_told: Option<Micros>,
     cancel_asked: bool,
     done_told: bool,
+    told_at: Micros,
     done: BTreeSet<u32>,
     over: bool,
 }
@@ -295,6 +297,7 @@
                     cancel_told: None,
                     cancel_asked: false,
                     done_told: false,
+                    told_at: 0,
                     done: BTreeSet::new(),
                     over: false,
                 },
@@ -806,7 +809,7 @@
                 sent,
                 tally,
             } => self.answer_worker(&machine, season, sent, tally, r),
-            Asker::User { job, what } => self.answer_user(job, what, r),
+            Asker::User { job, what, sent } => self.answer_user(job, what, sent, r),
         }
     }
 
@@ -1098,11 +1101,19 @@
         let lag = self.lag();
         self.at(
             self.now + lag,
-            Ev::Ask(to, req, Asker::User { job: id, what }),
+            Ev::Ask(
+                to,
+                req,
+                Asker::User {
+                    job: id,
+                    what,
+                    sent: self.now,
+                },
+            ),
         );
     }
 
-    fn answer_user(&mut self, id: String, what: What, r: Response) {
+    fn answer_user(&mut self, id: String, what: What, sent: Micros, r: Response) {
         let again = self.now + SECOND * if what == What::Poll { 5 } else { 1 };
         if !matches!(r.status, 200 | 201) {
             let accepted = self.jobs[&id].accepted;
@@ -1117,7 +1128,12 @@
             return;
         };
         let mut wrong = None;
-        if (j.done_told && stage != "done") || (j.cancel_told.is_some() && stage != "cancelled") {
+        // A question asked before the last word was out may cross it.
+        let after = sent >= j.told_at;
+        if after
+            && ((j.done_told && stage != "done")
+                || (j.cancel_told.is_some() && stage != "cancelled"))
+        {
             wrong = Some("went_back");
         }
         if stage == "cancelled" && !j.cancel_asked {
@@ -1127,6 +1143,9 @@
             wrong = Some("not_done");
         }
         j.accepted = true;
+        if matches!(stage.as_str(), "done" | "cancelled") && j.told_at == 0 {
+            j.told_at = now;
+        }
         match stage.as_str() {
             "done" => j.done_told = true,
             "cancelled" => {
