--- a/src/leader.rs
+++ b/src/leader.rs
@@ -11,7 +11,7 @@
 use crate::fleet::{offers, Fleet, FleetEvent, Listed, Offer, Refusals};
 use crate::mesh::{Message, RegionReport};
 use crate::model::{Flavor, JobSpec, Kind};
-use crate::region::{narrow_type, NarrowMemory, View, LEAST_AGE};
+use crate::region::{narrow_type, waiting_spans, NarrowMemory, View, LEAST_AGE};
 use crate::registry::records::{value, JobRecord, Key, MachineRecord, Part};
 use crate::registry::replica::Versioned;
 use crate::registry::{Txn, Urgency};
@@ -72,43 +72,24 @@
 impl Room {
     /// How many tasks of a job it takes now.
     fn takes(&self, s: &JobSpec, narrow: bool) -> u64 {
-        if (self.spot && !s.spot)
-            || s.zone.as_ref().is_some_and(|z| *z != self.zone)
-            || s.types.as_ref().is_some_and(|t| !t.contains(&self.flavor))
-        {
-            return 0;
-        }
-        let mut free = self.free;
-        if let (Some(k), false, false) = (self.kept, narrow, self.spot) {
-            let spare = (
-                self.cap.0.saturating_sub(k.0),
-                self.cap.1.saturating_sub(k.1),
-                self.cap.2.saturating_sub(k.2),
-            );
-            free = (
-                free.0.min(spare.0),
-                free.1.min(spare.1),
-                free.2.min(spare.2),
-            );
-        }
-        let part = |room: u64, need: u64| room.checked_div(need).unwrap_or(u64::MAX);
-        part(free.0, s.cpus)
-            .min(part(free.1, s.gpus))
-            .min(part(free.2, s.mem))
-            .min(s.tasks as u64)
+        self.takes_in(self.free, s, narrow)
     }
 
     /// How many it would take with nothing else on it.
     fn at_most(&self, s: &JobSpec, narrow: bool) -> u64 {
-        Room {
-            free: self.cap,
-            machine: String::new(),
-            region: String::new(),
-            flavor: self.flavor.clone(),
-            zone: self.zone.clone(),
-            ..*self
-        }
-        .takes(s, narrow)
+        self.takes_in(self.cap, s, narrow)
+    }
+
+    fn takes_in(&self, mut free: (u64, u64, u64), s: &JobSpec, narrow: bool) -> u64 {
+        if !s.permits(&self.flavor, &self.zone, self.spot) {
+            return 0;
+        }
+        if let (Some(k), false, false) = (self.kept, narrow, self.spot) {
+            free.0 = free.0.min(self.cap.0.saturating_sub(k.0));
+            free.1 = free.1.min(self.cap.1.saturating_sub(k.1));
+            free.2 = free.2.min(self.cap.2.saturating_sub(k.2));
+        }
+        s.count_in(free)
     }
 
     fn take(&mut self, s: &JobSpec, n: u64) {
@@ -191,7 +172,7 @@
     }
 
     /// Binds every job that is not bound yet.
-    pub fn bind(&mut self, v: &View<'_>, reports: &Reports) {
+    pub fn bind(&mut self, v: &View<'_>) {
         let unbound: Vec<String> = v
             .replica
             .open_jobs()
@@ -218,7 +199,7 @@
                 continue;
             };
             self.narrow.note(spec, v.replica, v.now);
-            let Some(region) = self.choose_region(spec, &level_one, v, reports) else {
+            let Some(region) = self.choose_region(spec, &level_one, v) else {
                 continue;
             };
             *level_one.entry(region.clone()).or_default() += 1;
@@ -260,7 +241,6 @@
         s: &JobSpec,
         level_one: &BTreeMap<String, u32>,
         v: &View<'_>,
-        _reports: &Reports,
     ) -> Option<String> {
         let mut able: BTreeSet<&str> = BTreeSet::new();
         for m in v.replica.machines.values() {
@@ -410,7 +390,7 @@
 
     /// Regular work. Returns when to look again.
     pub fn tick(&mut self, v: &View<'_>, reports: &Reports, fleet: &mut Fleet) -> Micros {
-        self.bind(v, reports);
+        self.bind(v);
         if v.now >= self.next_flavors {
             fleet.ask_flavors();
             let known = !v.replica.flavors.is_empty();
@@ -511,6 +491,13 @@
         }
     }
 
+    fn close(&mut self, r: &Room) {
+        self.out.push(Effect::Tell(Message::Close {
+            region: r.region.clone(),
+            machine: r.machine.clone(),
+        }));
+    }
+
     /// The same for types that are kept for work that fits on no other: one of
     /// several goes if the rest will be through with that work in good time.
     fn close_kept(&mut self, v: &View<'_>, waits: &[Wait], rooms: &[Room]) {
@@ -554,10 +541,7 @@
             if let Some(r) = emptiest {
                 log::debug!("leader: {}: not needed for {flavor} work", r.machine);
                 self.next_close = v.now + SECOND;
-                self.out.push(Effect::Tell(Message::Close {
-                    region: r.region.clone(),
-                    machine: r.machine.clone(),
-                }));
+                self.close(r);
                 return;
             }
         }
@@ -604,10 +588,7 @@
                 crate::units::plain(used),
                 crate::units::plain(cap)
             );
-            self.out.push(Effect::Tell(Message::Close {
-                region: r.region.clone(),
-                machine: r.machine.clone(),
-            }));
+            self.close(r);
         }
     }
 
@@ -764,8 +745,7 @@
     /// The cheapest offer for a job, by price of the processors it would use,
     /// slow boots counted as dearer, and how many processors are lacking of it.
     /// An offer is of use only for work that the machines at hand leave undone
-    /// by the time it has booted; ordinary machines are for work that would wait
-    /// longer still.
+    /// by the time it has booted.
     fn best_offer(
         &self,
         s: &JobSpec,
@@ -834,18 +814,8 @@
             left = left.min(span);
         }
     };
-    if let Some(d) = s.deadline {
-        aim(d.saturating_sub(s.estimate));
-    }
-    for o in &v.settings.objectives {
-        if o.class.as_deref() != Some(s.class.as_str()) {
-            continue;
-        }
-        match (o.kind.as_str(), o.within) {
-            ("wait", Some(w)) => aim(w),
-            ("finished", Some(w)) => aim(w.saturating_sub(s.estimate)),
-            _ => {}
-        }
+    for span in waiting_spans(s, v.settings) {
+        aim(span);
     }
     (left / 2).max(5 * SECOND)
 }
--- a/src/model.rs
+++ b/src/model.rs
@@ -160,12 +160,27 @@
         if !self.fits_type(f) {
             return 0;
         }
+        self.count_in((f.cpus, f.gpus, f.mem))
+    }
+
+    /// How many tasks go into this much room (processors, cards, memory).
+    pub fn count_in(&self, room: (u64, u64, u64)) -> u64 {
         let part = |room: u64, need: u64| room.checked_div(need).unwrap_or(u64::MAX);
-        part(f.cpus, self.cpus)
-            .min(part(f.gpus, self.gpus))
-            .min(part(f.mem, self.mem))
+        part(room.0, self.cpus)
+            .min(part(room.1, self.gpus))
+            .min(part(room.2, self.mem))
             .min(self.tasks as u64)
     }
+
+    /// Whether type, zone and kind of a machine are allowed, whatever its size.
+    pub fn permits(&self, flavor: &str, zone: &str, spot: bool) -> bool {
+        (!spot || self.spot)
+            && self.zone.as_deref().is_none_or(|z| z == zone)
+            && self
+                .types
+                .as_ref()
+                .is_none_or(|ts| ts.iter().any(|t| t == flavor))
+    }
 }
 
 /// A machine type as the cloud describes it.
--- a/src/region.rs
+++ b/src/region.rs
@@ -127,6 +127,30 @@
     narrow_to: Option<String>,
 }
 
+impl Job {
+    fn new(spec: &Rc<JobSpec>, narrow_to: Option<String>, now: Micros) -> Self {
+        Job {
+            spec: spec.clone(),
+            mine: RangeSet::default(),
+            waiting: RangeSet::default(),
+            unsettled: RangeSet::default(),
+            moving: RangeSet::default(),
+            done: RangeSet::default(),
+            pending: RangeSet::default(),
+            out: BTreeMap::new(),
+            over: false,
+            wait_since: now,
+            not_before: 0,
+            failures: 0,
+            failed_on: BTreeSet::new(),
+            writing: false,
+            last_write: 0,
+            breaking: false,
+            narrow_to,
+        }
+    }
+}
+
 /// What a commit was for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Purpose {
@@ -351,25 +375,10 @@
         }
         let id: JobId = key.unwrap_or_else(|| Rc::from(id));
         let narrow_to = narrow_type(spec, v.replica);
-        let job = self.jobs.entry(id.clone()).or_insert_with(|| Job {
-            spec: spec.clone(),
-            mine: RangeSet::default(),
-            waiting: RangeSet::default(),
-            unsettled: RangeSet::default(),
-            moving: RangeSet::default(),
-            done: RangeSet::default(),
-            pending: RangeSet::default(),
-            out: BTreeMap::new(),
-            over: false,
-            wait_since: v.now,
-            not_before: 0,
-            failures: 0,
-            failed_on: BTreeSet::new(),
-            writing: false,
-            last_write: 0,
-            breaking: false,
-            narrow_to,
-        });
+        let job = self
+            .jobs
+            .entry(id.clone())
+            .or_insert_with(|| Job::new(spec, narrow_to, v.now));
         let mut fresh = mine.clone();
         fresh.remove_all(&job.mine);
         let mut lost = job.mine.clone();
@@ -736,23 +745,8 @@
             // Cancelled, but still there: counts against the limit until gone.
             let narrow_to = narrow_type(spec, v.replica);
             self.jobs.entry(t.job.clone()).or_insert_with(|| Job {
-                spec: spec.clone(),
-                mine: RangeSet::default(),
-                waiting: RangeSet::default(),
-                unsettled: RangeSet::default(),
-                moving: RangeSet::default(),
-                done: RangeSet::default(),
-                pending: RangeSet::default(),
-                out: BTreeMap::new(),
                 over: true,
-                wait_since: v.now,
-                not_before: 0,
-                failures: 0,
-                failed_on: BTreeSet::new(),
-                writing: false,
-                last_write: 0,
-                breaking: false,
-                narrow_to,
+                ..Job::new(spec, narrow_to, v.now)
             });
         }
         let Some(job) = self.jobs.get(&t.job) else {
@@ -1694,26 +1688,12 @@
         let spec = &job.spec;
         // No more than the region's machines could hold: a share kept for tasks
         // that can't run here is lacking where they can.
-        let part = |room: u64, need: u64| room.checked_div(need).unwrap_or(u64::MAX);
-        let most = self
+        let most: u64 = self
             .machines
             .values()
-            .filter(|m| {
-                m.open()
-                    && (spec.spot || !m.rec.spot)
-                    && spec.zone.as_ref().is_none_or(|z| *z == m.rec.zone)
-                    && spec
-                        .types
-                        .as_ref()
-                        .is_none_or(|t| t.contains(&m.rec.flavor))
-            })
-            .map(|m| {
-                part(m.cap.0, spec.cpus)
-                    .min(part(m.cap.1, spec.gpus))
-                    .min(part(m.cap.2, spec.mem))
-                    .min(spec.tasks.into())
-            })
-            .sum::<u64>();
+            .filter(|m| m.open() && spec.permits(&m.rec.flavor, &m.rec.zone, m.rec.spot))
+            .map(|m| spec.count_in(m.cap))
+            .sum();
         let n = match spec.kind {
             Kind::Gang if most < spec.tasks.into() => 0,
             Kind::Gang => spec.tasks.into(),
@@ -1916,6 +1896,25 @@
 /// A job whose latest start is nearer than this goes before shorter ones.
 const PRESSING: Micros = 15 * SECOND;
 
+/// How long after its submission a job may be started and still meet its own
+/// deadline and each aim of its class.
+pub fn waiting_spans<'a>(
+    s: &'a JobSpec,
+    settings: &'a Settings,
+) -> impl Iterator<Item = Micros> + 'a {
+    let deadline = s.deadline.map(|d| d.saturating_sub(s.estimate));
+    let aims = settings
+        .objectives
+        .iter()
+        .filter(|o| o.class.as_deref() == Some(s.class.as_str()))
+        .filter_map(|o| match (o.kind.as_str(), o.within?) {
+            ("wait", w) => Some(w),
+            ("finished", w) => Some(w.saturating_sub(s.estimate)),
+            _ => None,
+        });
+    deadline.into_iter().chain(aims)
+}
+
 /// The time of day by which a job must be started to meet the nearest of its
 /// aims that can still be met: its own deadline, or what its class is expected.
 /// `None` if there was one and it is past; far off if there never was one.
@@ -1928,18 +1927,8 @@
             best = Some(best.map_or(at, |b| b.min(at)));
         }
     };
-    if let Some(d) = s.deadline {
-        aim((s.submitted + d).saturating_sub(s.estimate));
-    }
-    for o in &v.settings.objectives {
-        if o.class.as_deref() != Some(s.class.as_str()) {
-            continue;
-        }
-        match (o.kind.as_str(), o.within) {
-            ("wait", Some(w)) => aim(s.submitted + w),
-            ("finished", Some(w)) => aim((s.submitted + w).saturating_sub(s.estimate)),
-            _ => {}
-        }
+    for span in waiting_spans(s, v.settings) {
+        aim(s.submitted + span);
     }
     if any {
         best
--- a/src/registry/replica.rs
+++ b/src/registry/replica.rs
@@ -67,24 +67,6 @@
     Ok(())
 }
 
-fn set_hash<T: DeserializeOwned>(
-    map: &mut BTreeMap<String, Versioned<T>>,
-    k: &str,
-    value: Option<Value>,
-    mark: u64,
-) -> Result<(), serde_json::Error> {
-    match value {
-        Some(v) => {
-            let value = serde_json::from_value(v)?;
-            map.insert(k.to_owned(), Versioned { value, mark });
-        }
-        None => {
-            map.remove(k);
-        }
-    }
-    Ok(())
-}
-
 impl Replica {
     /// The revision of a record; 0 if there is none. This is what a transaction
     /// names as its condition.
@@ -150,7 +132,7 @@
             Key::Region(r) => set(&mut self.regions, r.clone(), value, mark),
             Key::Machine(m) => set(&mut self.machines, m.clone(), value, mark),
             Key::Job(j) => {
-                let res = set_hash(&mut self.jobs, j, value, mark);
+                let res = set(&mut self.jobs, j.clone(), value, mark);
                 if self.jobs.get(j).is_some_and(|r| r.value.open().is_some()) {
                     self.open.insert(j.clone());
                 } else {
@@ -158,7 +140,7 @@
                 }
                 res
             }
-            Key::Quota(t) => set_hash(&mut self.quotas, t, value, mark),
+            Key::Quota(t) => set(&mut self.quotas, t.clone(), value, mark),
             Key::Flavor(f) => set(&mut self.flavors, f.clone(), value, mark),
             Key::Progress(j, r, c) => {
                 let chunks = self.progress.entry(j.clone()).or_default();
