--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,6 +1,6 @@
 //! The cloud: its wire types, pacing of calls, what to rent, and returning.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::Deserialize;
 use serde_json::json;
@@ -413,7 +413,7 @@
 /// Offers that were refused lately, and until when they are not asked for.
 #[derive(Debug, Default)]
 pub struct Refusals {
-    until: HashMap<Offer, (Micros, u32)>,
+    until: BTreeMap<Offer, (Micros, u32)>,
 }
 
 impl Refusals {
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -5,7 +5,7 @@
 //! The leader is fenced by its record alone: every write names it as condition.
 //! One that is overtaken can at worst rent a machine too many.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use crate::fleet::{offers, Fleet, FleetEvent, Listed, Offer, Refusals};
@@ -35,14 +35,14 @@
     pub mark: u64,
     began: Micros,
     counter: u64,
-    writing: HashSet<Key>,
+    writing: BTreeSet<Key>,
     /// Rented machines: region meant for them, and since when.
-    expected: HashMap<String, (Offer, String, Micros)>,
+    expected: BTreeMap<String, (Offer, String, Micros)>,
     refusals: Refusals,
     narrow: NarrowMemory,
-    moved: HashMap<String, Micros>,
-    gone: HashMap<String, Micros>,
-    odd: HashMap<String, Micros>,
+    moved: BTreeMap<String, Micros>,
+    gone: BTreeMap<String, Micros>,
+    odd: BTreeMap<String, Micros>,
     next_plan: Micros,
     next_list: Micros,
     next_flavors: Micros,
@@ -98,6 +98,19 @@
             .min(s.tasks as u64)
     }
 
+    /// How many it would take with nothing else on it.
+    fn at_most(&self, s: &JobSpec, narrow: bool) -> u64 {
+        Room {
+            free: self.cap,
+            machine: String::new(),
+            region: String::new(),
+            flavor: self.flavor.clone(),
+            zone: self.zone.clone(),
+            ..*self
+        }
+        .takes(s, narrow)
+    }
+
     fn take(&mut self, s: &JobSpec, n: u64) {
         self.free.0 = self.free.0.saturating_sub(s.cpus * n);
         self.free.1 = self.free.1.saturating_sub(s.gpus * n);
@@ -121,13 +134,13 @@
             mark,
             began: v.now,
             counter: 0,
-            writing: HashSet::new(),
-            expected: HashMap::new(),
+            writing: BTreeSet::new(),
+            expected: BTreeMap::new(),
             refusals: Refusals::default(),
             narrow: NarrowMemory::default(),
-            moved: HashMap::new(),
-            gone: HashMap::new(),
-            odd: HashMap::new(),
+            moved: BTreeMap::new(),
+            gone: BTreeMap::new(),
+            odd: BTreeMap::new(),
             next_plan: 0,
             next_list: v.now + 20 * SECOND,
             next_flavors: 0,
@@ -244,7 +257,7 @@
         v: &View<'_>,
         _reports: &Reports,
     ) -> Option<String> {
-        let mut able: HashSet<&str> = HashSet::new();
+        let mut able: BTreeSet<&str> = BTreeSet::new();
         for m in v.replica.machines.values() {
             let m = &m.value;
             if let Some(f) = v.replica.flavors.get(&m.flavor) {
@@ -375,7 +388,7 @@
     /// Machines that nobody knows: rented by a request that was carried out
     /// late. They are dealt like any other and used, or returned when idle.
     fn on_list(&mut self, list: &[Listed], v: &View<'_>) {
-        let mut odd = HashMap::new();
+        let mut odd = BTreeMap::new();
         for m in list {
             if m.failed || v.replica.machines.contains_key(&m.name) {
                 continue;
@@ -411,7 +424,7 @@
 
     fn rooms(&self, v: &View<'_>, reports: &Reports) -> Vec<Room> {
         let mut rooms = Vec::new();
-        let mut told: HashSet<&str> = HashSet::new();
+        let mut told: BTreeSet<&str> = BTreeSet::new();
         let room = |name: &str,
                     m: &MachineRecord,
                     free: Option<(u64, u64, u64)>,
@@ -661,6 +674,17 @@
         // Work that waits, by the one type it fits or for all types together.
         let mut groups: BTreeMap<Option<&str>, Vec<(&Wait, u64)>> = BTreeMap::new();
         for w in waits {
+            if let Some(lacking) = shut_out(w, rooms) {
+                // However soon the machines at hand are free, they won't do.
+                let all = (0.0, 0.0);
+                let best = self.best_offer(&w.spec, w.narrow.is_some(), f64::MAX, all, SECOND, v);
+                if let Some((offer, per, _)) = best {
+                    let count = lacking.div_ceil(per.max(1)).clamp(1, 50) as u32;
+                    log::info!("leader: {}: no machines at hand hold it", w.id);
+                    self.ask(offer, w.region.clone(), count, v, fleet);
+                    return;
+                }
+            }
             let mut left = w.count;
             for r in rooms.iter_mut().filter(|r| !r.live) {
                 let n = r.takes(&w.spec, w.narrow.is_some()).min(left);
@@ -711,8 +735,6 @@
             let by_work = (lack / (per * w.spec.cpus) as f64).round() as u64;
             let by_tasks = tasks.div_ceil(per.max(1));
             let count = by_work.min(by_tasks).clamp(1, 20) as u32;
-            self.counter += 1;
-            let tenancy = format!("{}-{}-{}", v.settings.name, self.mark, self.counter);
             log::info!(
                 "leader: renting {count} {} in {}{}: {tasks} tasks wait, {:.0} processor-seconds",
                 offer.flavor,
@@ -720,13 +742,20 @@
                 if offer.spot { ", spot" } else { "" },
                 work / 1e12
             );
-            let region = w.region.clone();
-            fleet.rent(offer, region, count, tenancy);
-            self.rent_wait = v.now + 300 * MILLI;
+            self.ask(offer, w.region.clone(), count, v, fleet);
             return;
         }
     }
 
+    /// Asks the cloud, under a request name that nobody ever used: host, term
+    /// of leading, number.
+    fn ask(&mut self, offer: Offer, region: String, count: u32, v: &View<'_>, fleet: &mut Fleet) {
+        self.counter += 1;
+        let tenancy = format!("{}-{}-{}", v.settings.name, self.mark, self.counter);
+        fleet.rent(offer, region, count, tenancy);
+        self.rent_wait = v.now + 300 * MILLI;
+    }
+
     /// The cheapest offer for a job, by price of the processors it would use,
     /// slow boots counted as dearer, and how many processors are lacking of it.
     /// An offer is of use only for work that the machines at hand leave undone
@@ -770,6 +799,23 @@
     }
 }
 
+/// How many tasks of a waiting job the machines at hand could never hold, all
+/// else gone: a job whose tasks keep together needs one region that holds them all.
+fn shut_out(w: &Wait, rooms: &[Room]) -> Option<u64> {
+    let whole = w.spec.kind == Kind::Gang || w.spec.one_zone || w.spec.spread;
+    let mut by_region: BTreeMap<&str, u64> = BTreeMap::new();
+    for r in rooms {
+        let n = r.at_most(&w.spec, w.narrow.is_some());
+        *by_region.entry(&r.region).or_default() += n;
+    }
+    let need = if whole { w.spec.tasks as u64 } else { 1 };
+    if by_region.values().any(|n| *n >= need) {
+        return None;
+    }
+    let home = by_region.get(w.region.as_str()).copied().unwrap_or(0);
+    Some(need.max(if whole { 0 } else { w.count.min(8) }) - home)
+}
+
 /// How soon a job's waiting tasks should be under way: half of the time that
 /// its aims leave for waiting.
 fn horizon(s: &JobSpec, v: &View<'_>) -> Micros {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,3 +19,6 @@
 pub mod settings;
 pub mod units;
 pub mod workers;
+
+#[cfg(test)]
+mod sim;
--- a/src/main.rs
+++ b/src/main.rs
@@ -37,7 +37,7 @@
             return ExitCode::FAILURE;
         }
     };
-    let served = Node::new(settings).and_then(|mut n| n.serve());
+    let served = Node::open(settings).and_then(|mut n| n.serve());
     if let Err(e) = served {
         eprintln!("salttiller: {e}");
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,9 +1,8 @@
 //! A controller: the slices put together. Events of the network and of the
 //! clock go in, the slices' actions are carried out.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use crate::fleet::{Fleet, FleetEvent, Offer};
 use crate::http::{Request, Response};
@@ -11,7 +10,7 @@
 use crate::leader::{self, Leader, Reports};
 use crate::mesh::{self, Message};
 use crate::model::is_job_id;
-use crate::reactor::{Call, CallError, CallId, ConnId, Limits, NetEvent, Reactor};
+use crate::reactor::{Call, CallError, CallId, ConnId, Limits, Net, NetEvent, Reactor};
 use crate::region::{self, Region, Verdict, View};
 use crate::registry::records::{value, JobRecord, Key, LeaderRecord, RegionRecord, Stage};
 use crate::registry::{GrantName, Outcome, Registry, RegistryEvent, Txn, Urgency};
@@ -87,28 +86,30 @@
 }
 
 /// The controller.
-pub struct Node {
+pub struct Node<N: Net> {
     settings: Settings,
     run: u64,
-    reactor: Reactor,
+    reactor: N,
     registry: Registry,
     fleet: Fleet,
     regions: BTreeMap<String, Region>,
-    claims: HashMap<String, Claim>,
-    absent: HashMap<String, Micros>,
-    retake: HashSet<String>,
+    claims: BTreeMap<String, Claim>,
+    absent: BTreeMap<String, Micros>,
+    retake: BTreeSet<String>,
     leader: Option<Leader>,
     lead_claim: Option<Claim>,
     lead_at: Option<Micros>,
     limiter: Limiter,
     waiting: Vec<Waiting>,
-    tickets: HashMap<u64, Ticket>,
+    tickets: BTreeMap<u64, Ticket>,
     users_busy: usize,
-    calls: HashMap<CallId, CallFor>,
+    calls: BTreeMap<CallId, CallFor>,
     peers: BTreeMap<String, Peer>,
     reports: Reports,
     mesh_next: Micros,
     now: Micros,
+    #[cfg(test)]
+    hasty: bool,
 }
 
 /// How old the last complete read may be for us to take requests.
@@ -123,26 +124,20 @@
 /// A user waits 5 s for a submission's or a cancellation's answer.
 const ASK_PATIENCE: Micros = 3500 * MILLI;
 
-fn wall() -> Micros {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |d| d.as_micros() as Micros)
-}
-
 macro_rules! view {
     ($s:ident) => {
         View {
             replica: &$s.registry.replica,
             settings: &$s.settings,
             now: $s.now,
-            wall: wall(),
+            wall: $s.reactor.wall(),
         }
     };
 }
 
-impl Node {
+impl Node<Reactor> {
     /// Opens the listeners and gets ready.
-    pub fn new(settings: Settings) -> io::Result<Self> {
+    pub fn open(settings: Settings) -> io::Result<Self> {
         let peers: Vec<_> = settings.peers.iter().map(|p| p.addr).collect();
         let limits = Limits {
             served: settings.sockets.saturating_sub(64).max(16) * 3 / 4,
@@ -150,25 +145,43 @@
         };
         let dests = [(settings.store, 10), (settings.cloud, 2)];
         let reactor = Reactor::new(settings.front, settings.mesh, &dests, &peers, limits)?;
+        Ok(Node::new(settings, reactor))
+    }
+
+    /// Serves until the process is killed.
+    pub fn serve(&mut self) -> io::Result<()> {
+        self.begin();
+        loop {
+            let until = self.step();
+            for ev in self.reactor.wait(until)? {
+                self.handle(ev);
+            }
+        }
+    }
+}
+
+impl<N: Net> Node<N> {
+    /// A controller that talks through `net`.
+    pub fn new(settings: Settings, reactor: N) -> Self {
         let registry = Registry::new(&settings);
         let fleet = Fleet::new(&settings);
-        Ok(Node {
+        Node {
             run: fastrand::u64(1..1 << 53),
             reactor,
             registry,
             fleet,
             regions: BTreeMap::new(),
-            claims: HashMap::new(),
-            absent: HashMap::new(),
-            retake: HashSet::new(),
+            claims: BTreeMap::new(),
+            absent: BTreeMap::new(),
+            retake: BTreeSet::new(),
             leader: None,
             lead_claim: None,
             lead_at: None,
-            limiter: Limiter::new(limits.served / 2),
+            limiter: Limiter::new(settings.sockets / 4),
             waiting: Vec::new(),
-            tickets: HashMap::new(),
+            tickets: BTreeMap::new(),
             users_busy: 0,
-            calls: HashMap::new(),
+            calls: BTreeMap::new(),
             peers: settings
                 .peers
                 .iter()
@@ -177,12 +190,20 @@
             reports: Reports::new(),
             mesh_next: 0,
             now: 0,
+            #[cfg(test)]
+            hasty: false,
             settings,
-        })
+        }
     }
 
-    /// Serves until the process is killed.
-    pub fn serve(&mut self) -> io::Result<()> {
+    /// A fault for the tests to catch: no accounting after a takeover.
+    #[cfg(test)]
+    pub fn plant_hasty_takeover(&mut self) {
+        self.hasty = true;
+    }
+
+    /// Says who this is and asks for the grant that all else hangs on.
+    pub fn begin(&mut self) {
         log::info!(
             "node: {}: run {}, zone {}, {} peers, grant life {} ms",
             self.settings.name,
@@ -193,21 +214,19 @@
         );
         self.now = self.reactor.clock();
         self.registry.want_grant(GrantName::Owner);
-        loop {
-            let until = self.step();
-            for ev in self.reactor.wait(until)? {
-                self.now = self.reactor.clock();
-                match ev {
-                    NetEvent::Request(conn, req) => self.on_request(conn, req),
-                    NetEvent::Response(id, result) => self.on_response(id, result),
-                    NetEvent::Frame(bytes) => {
-                        if let Some(m) = mesh::decode(&bytes) {
-                            self.on_message(m);
-                        }
-                    }
+    }
+
+    /// Takes something that came from the network.
+    pub fn handle(&mut self, ev: NetEvent) {
+        self.now = self.reactor.clock();
+        match ev {
+            NetEvent::Request(conn, req) => self.on_request(conn, req),
+            NetEvent::Response(id, result) => self.on_response(id, result),
+            NetEvent::Frame(bytes) => {
+                if let Some(m) = mesh::decode(&bytes) {
+                    self.on_message(m);
                 }
             }
-            self.now = self.reactor.clock();
         }
     }
 
@@ -243,7 +262,8 @@
     }
 
     /// One round of everything that is due; returns when the next is.
-    fn step(&mut self) -> Micros {
+    pub fn step(&mut self) -> Micros {
+        self.now = self.reactor.clock();
         let mut until = self.now + SECOND;
         self.manage_regions();
         self.manage_leader();
@@ -448,7 +468,12 @@
                     let token = rec.map_or(0, |r| r.token);
                     log::info!("node: region {name}: taken, token {token}");
                     let v = view!(self);
-                    let r = Region::new(&name, token, mark, &v);
+                    #[allow(unused_mut)]
+                    let mut r = Region::new(&name, token, mark, &v);
+                    #[cfg(test)]
+                    if self.hasty {
+                        r.plant_settled(&v);
+                    }
                     self.regions.insert(name.clone(), r);
                     self.claims.remove(&name);
                 }
@@ -892,7 +917,7 @@
     }
 
     fn on_submit(&mut self, conn: ConnId, body: &[u8]) {
-        let (id, spec) = match intake::parse_submission(body, wall()) {
+        let (id, spec) = match intake::parse_submission(body, self.reactor.wall()) {
             Ok(x) => x,
             Err(_) => return self.reactor.respond(conn, Response::new(400, Vec::new())),
         };
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -2,7 +2,7 @@
 //! together: each region starts tasks only inside its own share, and the shares
 //! of a team, changed by compare-and-set, never sum to more than its limit.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::model::Kind;
 use crate::registry::records::QuotaRecord;
@@ -44,15 +44,15 @@
 
 /// The open jobs that fit into their team's guarantee together with the team's
 /// earlier unfinished ones.
-pub fn within_guarantee(replica: &Replica, settings: &Settings) -> HashSet<String> {
-    let mut by_team: HashMap<&str, BTreeMap<(u64, &str), Amount>> = HashMap::new();
+pub fn within_guarantee(replica: &Replica, settings: &Settings) -> BTreeSet<String> {
+    let mut by_team: BTreeMap<&str, BTreeMap<(u64, &str), Amount>> = BTreeMap::new();
     for (id, _, s) in replica.open_jobs() {
         by_team
             .entry(&s.team)
             .or_default()
             .insert((s.submitted, id), s.amount().times(s.tasks as u64));
     }
-    let mut out = HashSet::new();
+    let mut out = BTreeSet::new();
     for (team, jobs) in by_team {
         let Some(t) = settings.team(team) else {
             continue;
--- a/src/reactor.rs
+++ b/src/reactor.rs
@@ -4,10 +4,10 @@
 //! Everything is bounded: connections, queues, buffers; every call and every
 //! half-sent request has a deadline.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use polling::{Event, Events, PollMode, Poller};
 use socket2::{Domain, Protocol, Socket, Type};
@@ -19,8 +19,8 @@
 /// another generation, so an answer can't reach a stranger.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ConnId {
-    slot: usize,
-    generation: u32,
+    pub(crate) slot: usize,
+    pub(crate) generation: u32,
 }
 
 /// Names an outgoing call.
@@ -116,6 +116,24 @@
     retry_at: Micros,
 }
 
+/// What a controller needs of the world: the reactor, or a stand-in in tests.
+pub trait Net {
+    /// Reads the steady clock.
+    fn clock(&mut self) -> Micros;
+    /// Reads the time of day.
+    fn wall(&self) -> Micros;
+    /// Answers a request. A connection that has gone is no error.
+    fn respond(&mut self, id: ConnId, r: Response);
+    /// Starts a call; its end comes as [`NetEvent::Response`], always.
+    fn call(&mut self, call: Call) -> CallId;
+    /// Sends a frame to another controller, if there is a way just now. Frames
+    /// are state, not orders that must arrive: a lost one is made good by the next.
+    fn send(&mut self, peer: usize, payload: &[u8]);
+    /// Gives up every idle connection to a destination: after a cut they would
+    /// only hang.
+    fn reset_dest(&mut self, dest: usize);
+}
+
 /// Limits that follow from the settings.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
@@ -232,12 +250,6 @@
         })
     }
 
-    /// Reads the steady clock.
-    pub fn clock(&mut self) -> Micros {
-        self.now = self.epoch.elapsed().as_micros() as Micros + 1;
-        self.now
-    }
-
     /// Waits for the network until `until` at the latest and returns what came.
     pub fn wait(&mut self, until: Micros) -> io::Result<Vec<NetEvent>> {
         let now = self.clock();
@@ -623,52 +635,6 @@
         }
     }
 
-    /// Answers a request. A connection that has gone is no error.
-    pub fn respond(&mut self, id: ConnId, mut r: Response) {
-        let now = self.now;
-        let Some(c) = self
-            .conns
-            .get_mut(id.slot)
-            .and_then(Option::as_mut)
-            .filter(|c| c.generation == id.generation)
-        else {
-            return;
-        };
-        let Role::Answering { close } = c.role else {
-            return;
-        };
-        r.close |= close;
-        http::write_response(&mut c.wbuf, &r);
-        c.role = if r.close {
-            Role::Closing
-        } else {
-            Role::Reading
-        };
-        self.set_deadline(id.slot, now + IDLE_SERVED);
-        if self.flush(id.slot) {
-            self.digest(id.slot);
-        }
-    }
-
-    /// Starts a call; its end comes as [`NetEvent::Response`], always.
-    pub fn call(&mut self, call: Call) -> CallId {
-        let id = self.next_call;
-        self.next_call += 1;
-        let deadline = self.now + call.timeout;
-        let dest = call.dest;
-        if self.dests[dest].queue.len() >= QUEUE_PER_DEST {
-            self.out
-                .push_back(NetEvent::Response(id, Err(CallError::NotSent)));
-            return id;
-        }
-        self.queued.insert((deadline, dest, id));
-        self.dests[dest]
-            .queue
-            .push_back(Pending { id, call, deadline });
-        self.pump(dest);
-        id
-    }
-
     fn pump(&mut self, dest: usize) {
         loop {
             let d = &mut self.dests[dest];
@@ -719,18 +685,59 @@
             }
         }
     }
+}
 
-    /// Gives up every idle or busy connection to a destination: after a cut they
-    /// would only hang.
-    pub fn reset_dest(&mut self, dest: usize) {
-        for slot in std::mem::take(&mut self.dests[dest].idle) {
-            self.drop_conn(slot);
+impl Net for Reactor {
+    fn clock(&mut self) -> Micros {
+        self.now = self.epoch.elapsed().as_micros() as Micros + 1;
+        self.now
+    }
+
+    fn respond(&mut self, id: ConnId, mut r: Response) {
+        let now = self.now;
+        let Some(c) = self
+            .conns
+            .get_mut(id.slot)
+            .and_then(Option::as_mut)
+            .filter(|c| c.generation == id.generation)
+        else {
+            return;
+        };
+        let Role::Answering { close } = c.role else {
+            return;
+        };
+        r.close |= close;
+        http::write_response(&mut c.wbuf, &r);
+        c.role = if r.close {
+            Role::Closing
+        } else {
+            Role::Reading
+        };
+        self.set_deadline(id.slot, now + IDLE_SERVED);
+        if self.flush(id.slot) {
+            self.digest(id.slot);
         }
     }
 
-    /// Sends a frame to another controller, if there is a way just now. Frames
-    /// are state, not orders that must arrive: a lost one is made good by the next.
-    pub fn send(&mut self, peer: usize, payload: &[u8]) {
+    fn call(&mut self, call: Call) -> CallId {
+        let id = self.next_call;
+        self.next_call += 1;
+        let deadline = self.now + call.timeout;
+        let dest = call.dest;
+        if self.dests[dest].queue.len() >= QUEUE_PER_DEST {
+            self.out
+                .push_back(NetEvent::Response(id, Err(CallError::NotSent)));
+            return id;
+        }
+        self.queued.insert((deadline, dest, id));
+        self.dests[dest]
+            .queue
+            .push_back(Pending { id, call, deadline });
+        self.pump(dest);
+        id
+    }
+
+    fn send(&mut self, peer: usize, payload: &[u8]) {
         if self.peers[peer].conn.is_none() {
             if self.now < self.peers[peer].retry_at {
                 return;
@@ -765,18 +772,16 @@
         }
     }
 
-    /// Counts for the status page: served connections and slots in use.
-    pub fn usage(&self) -> (usize, usize) {
-        (self.served, self.conns.len() - self.free.len())
+    fn reset_dest(&mut self, dest: usize) {
+        for slot in std::mem::take(&mut self.dests[dest].idle) {
+            self.drop_conn(slot);
+        }
     }
 
-    /// Calls waiting for a connection, over all destinations.
-    pub fn waiting_calls(&self) -> HashMap<usize, usize> {
-        self.dests
-            .iter()
-            .enumerate()
-            .map(|(i, d)| (i, d.queue.len()))
-            .collect()
+    fn wall(&self) -> Micros {
+        SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |d| d.as_micros() as Micros)
     }
 }
 
--- a/src/region.rs
+++ b/src/region.rs
@@ -5,7 +5,7 @@
 //! reports alone, and a task that may be on a machine stays there until that
 //! machine says otherwise or is provably empty.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use crate::mesh::{CountLine, RegionReport, RoomLine, WaitLine};
@@ -203,12 +203,12 @@
     settled: bool,
     taken_at: Micros,
     machines: BTreeMap<String, Machine>,
-    jobs: HashMap<JobId, Job>,
-    shares: HashMap<Rc<str>, Share>,
+    jobs: BTreeMap<JobId, Job>,
+    shares: BTreeMap<Rc<str>, Share>,
     seq: u64,
-    tickets: HashMap<u64, Purpose>,
+    tickets: BTreeMap<u64, Purpose>,
     conflicts: Vec<(u64, Purpose)>,
-    guaranteed: HashSet<String>,
+    guaranteed: BTreeSet<String>,
     guarantee_stale: bool,
     narrow: NarrowMemory,
     out: Vec<Effect>,
@@ -241,12 +241,12 @@
             settled: false,
             taken_at: v.now,
             machines: BTreeMap::new(),
-            jobs: HashMap::new(),
-            shares: HashMap::new(),
+            jobs: BTreeMap::new(),
+            shares: BTreeMap::new(),
             seq: 0,
-            tickets: HashMap::new(),
+            tickets: BTreeMap::new(),
             conflicts: Vec::new(),
-            guaranteed: HashSet::new(),
+            guaranteed: BTreeSet::new(),
             guarantee_stale: true,
             narrow: NarrowMemory::default(),
             out: Vec::new(),
@@ -609,7 +609,7 @@
             self.dirty = true;
         }
         let mut commands = Vec::new();
-        let mut listed: HashSet<(JobId, u32)> = HashSet::with_capacity(r.tasks.len());
+        let mut listed: BTreeSet<(JobId, u32)> = BTreeSet::new();
         for t in &r.tasks {
             self.on_reported(&r.machine, t, v, &mut listed, &mut commands);
         }
@@ -660,7 +660,7 @@
         machine: &str,
         t: &crate::workers::ReportedTask,
         v: &View<'_>,
-        listed: &mut HashSet<(JobId, u32)>,
+        listed: &mut BTreeSet<(JobId, u32)>,
         commands: &mut Vec<Command>,
     ) {
         let rec = v.replica.jobs.get(&*t.job).map(|r| &r.value);
@@ -914,6 +914,18 @@
             log::debug!("region: {}: still waits for {name}", self.name);
             return;
         }
+        self.settle(v);
+    }
+
+    /// A fault for the tests to catch: settled with nothing accounted for.
+    #[cfg(test)]
+    pub fn plant_settled(&mut self, v: &View<'_>) {
+        if !self.settled {
+            self.settle(v);
+        }
+    }
+
+    fn settle(&mut self, v: &View<'_>) {
         self.settled = true;
         self.dirty = true;
         log::info!(
@@ -1499,8 +1511,8 @@
         &self,
         job: &Job,
         zone: Option<&str>,
-        extra: &HashMap<String, (u64, u64, u64)>,
-        full_zones: &HashSet<String>,
+        extra: &BTreeMap<String, (u64, u64, u64)>,
+        full_zones: &BTreeSet<String>,
         v: &View<'_>,
     ) -> Option<String> {
         let s = &job.spec;
@@ -1560,7 +1572,7 @@
     }
 
     fn place_tasks(&mut self, id: &JobId, v: &View<'_>) {
-        let none = HashMap::new();
+        let none = BTreeMap::new();
         loop {
             let job = &self.jobs[id];
             let Some(n) = job.waiting.first() else { return };
@@ -1583,14 +1595,14 @@
                 None
             };
             let half = spec.tasks.div_ceil(2);
-            let full: HashSet<String> = if spec.spread {
+            let full: BTreeSet<String> = if spec.spread {
                 zones
                     .iter()
                     .filter(|(_, c)| **c >= half)
                     .map(|(z, _)| z.clone())
                     .collect()
             } else {
-                HashSet::new()
+                BTreeSet::new()
             };
             let Some(name) = self.best_machine(job, zone.as_deref(), &none, &full, v) else {
                 return;
@@ -1636,9 +1648,9 @@
         };
         let half = spec.tasks.div_ceil(2);
         for zone in zones {
-            let mut extra: HashMap<String, (u64, u64, u64)> = HashMap::new();
+            let mut extra: BTreeMap<String, (u64, u64, u64)> = BTreeMap::new();
             let mut per_zone: BTreeMap<String, u32> = BTreeMap::new();
-            let mut full = HashSet::new();
+            let mut full = BTreeSet::new();
             let mut picks = Vec::new();
             for n in job.waiting.numbers() {
                 let Some(name) = self.best_machine(job, zone.as_deref(), &extra, &full, v) else {
@@ -1776,7 +1788,7 @@
 /// ones on which some recent job fits. Jobs that fit elsewhere may have the rest.
 #[derive(Debug, Default)]
 pub struct NarrowMemory {
-    types: HashMap<String, ((u64, u64, u64), Micros)>,
+    types: BTreeMap<String, ((u64, u64, u64), Micros)>,
 }
 
 impl NarrowMemory {
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -12,7 +12,7 @@
 pub mod records;
 pub mod replica;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use serde::Deserialize;
 use serde_json::{json, Value};
@@ -258,7 +258,7 @@
     leader: Grant,
     first: VecDeque<Commit>,
     later: VecDeque<Commit>,
-    ops: HashMap<u64, Op>,
+    ops: BTreeMap<u64, Op>,
     next_op: u64,
     next_ticket: u64,
     in_flight: usize,
@@ -266,7 +266,7 @@
     writes: Bucket,
     out: Vec<StoreCall>,
     commit_times: Vec<Micros>,
-    commit_sent: HashMap<u64, Micros>,
+    commit_sent: BTreeMap<u64, Micros>,
 }
 
 const MARGIN: Micros = 300 * MILLI;
@@ -316,7 +316,7 @@
             },
             first: VecDeque::new(),
             later: VecDeque::new(),
-            ops: HashMap::new(),
+            ops: BTreeMap::new(),
             next_op: 1,
             next_ticket: 1,
             in_flight: 0,
@@ -324,7 +324,7 @@
             writes: Bucket::new(s.store_writes * 0.45),
             out: Vec::new(),
             commit_times: Vec::new(),
-            commit_sent: HashMap::new(),
+            commit_sent: BTreeMap::new(),
         }
     }
 
--- a/src/registry/replica.rs
+++ b/src/registry/replica.rs
@@ -1,6 +1,6 @@
 //! A controller's copy of the state service's records, kept up by watching.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use serde::de::DeserializeOwned;
@@ -35,18 +35,18 @@
     /// Machines.
     pub machines: BTreeMap<String, Versioned<MachineRecord>>,
     /// Jobs.
-    pub jobs: HashMap<String, Versioned<JobRecord>>,
+    pub jobs: BTreeMap<String, Versioned<JobRecord>>,
     /// Names of the jobs that are not over.
     pub open: std::collections::BTreeSet<String>,
     /// Finished tasks by job, region and chunk.
-    pub progress: HashMap<String, BTreeMap<(String, u32), Versioned<String>>>,
+    pub progress: BTreeMap<String, BTreeMap<(String, u32), Versioned<String>>>,
     /// Shares of limits.
-    pub quotas: HashMap<String, Versioned<QuotaRecord>>,
+    pub quotas: BTreeMap<String, Versioned<QuotaRecord>>,
     /// Machine types.
     pub flavors: BTreeMap<String, Versioned<Flavor>>,
     /// Our own changes beyond `revision`: key and mark (also of deletions), so
     /// that an older event that comes in later can't undo them.
-    ahead: HashMap<Key, u64>,
+    ahead: BTreeMap<Key, u64>,
 }
 
 fn set<K: Ord, T: DeserializeOwned>(
@@ -68,7 +68,7 @@
 }
 
 fn set_hash<T: DeserializeOwned>(
-    map: &mut HashMap<String, Versioned<T>>,
+    map: &mut BTreeMap<String, Versioned<T>>,
     k: &str,
     value: Option<Value>,
     mark: u64,
--- /dev/null
+++ b/src/sim.rs
@@ -0,0 +1,1308 @@
+//! A small world to test whole controllers in: three of them, a state service,
+//! a cloud and workers, written from the protocol, with faults drawn from a
+//! seed. Time is simulated, so a run takes as long as its computing and the same
+//! seed gives the same run. The protocol's rules are checked as the run goes.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use serde_json::{json, Value};
+
+use crate::http::{query_value, Request, Response};
+use crate::node::Node;
+use crate::reactor::{Call, CallError, CallId, ConnId, Net, NetEvent};
+use crate::settings::Settings;
+use crate::units::{Micros, MILLI, SECOND};
+
+enum Out {
+    Respond(ConnId, Response),
+    Call(CallId, Call),
+    Send(usize, Vec<u8>),
+}
+
+#[derive(Clone)]
+struct SimNet {
+    shared: Rc<RefCell<Shared>>,
+}
+
+#[derive(Default)]
+struct Shared {
+    clock: Micros,
+    wall: Micros,
+    next_call: CallId,
+    out: Vec<Out>,
+}
+
+impl Net for SimNet {
+    fn clock(&mut self) -> Micros {
+        self.shared.borrow().clock
+    }
+    fn wall(&self) -> Micros {
+        self.shared.borrow().wall
+    }
+    fn respond(&mut self, id: ConnId, r: Response) {
+        self.shared.borrow_mut().out.push(Out::Respond(id, r));
+    }
+    fn call(&mut self, call: Call) -> CallId {
+        let mut s = self.shared.borrow_mut();
+        s.next_call += 1;
+        let id = s.next_call;
+        s.out.push(Out::Call(id, call));
+        id
+    }
+    fn send(&mut self, peer: usize, payload: &[u8]) {
+        self.shared
+            .borrow_mut()
+            .out
+            .push(Out::Send(peer, payload.to_vec()));
+    }
+    fn reset_dest(&mut self, _dest: usize) {}
+}
+
+/// Where an answer of a controller goes.
+#[derive(Clone)]
+enum Asker {
+    Worker {
+        machine: String,
+        season: u64,
+        sent: Micros,
+        tally: u64,
+    },
+    User {
+        job: String,
+        what: What,
+    },
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum What {
+    Submit,
+    Poll,
+    Abort,
+}
+
+enum Ev {
+    Wake(usize, u64),
+    Boot(usize),
+    /// A request reaches a controller.
+    Ask(usize, Request, Asker),
+    /// A controller's answer reaches who asked.
+    Answer(Asker, Response),
+    /// A call reaches an outside service.
+    Serve(usize, u64, CallId, Call),
+    Returned(usize, u64, CallId, Result<Response, CallError>),
+    Frame(usize, Vec<u8>),
+    Report(String, u64),
+    Progress(String, u64),
+    MachineUp(String),
+    User(String, What),
+    WatchEnds(u64),
+    Fault(Fault),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    Crash(usize),
+    StoreDown(Micros),
+    /// A controller's way to the state service is cut; what it had sent is
+    /// delivered late.
+    CutStore(usize, Micros),
+    CutWorkers(usize, Micros),
+    CutMesh(usize, Micros),
+    CloudDown(Micros),
+    MachineDies,
+    MachineHangs(Micros),
+}
+
+struct Ctl {
+    node: Option<Node<SimNet>>,
+    shared: Rc<RefCell<Shared>>,
+    boot: Micros,
+    life: u64,
+    wake: u64,
+    conns: BTreeMap<u32, Asker>,
+    next_conn: u32,
+    cut_store: Micros,
+    cut_workers: Micros,
+    cut_mesh: Micros,
+}
+
+#[derive(Clone)]
+struct Task {
+    attempt: u64,
+    stage: &'static str,
+    why: &'static str,
+    ends: Micros,
+}
+
+struct Worker {
+    flavor: String,
+    spot: bool,
+    season: u64,
+    tally: u64,
+    token: u64,
+    tasks: BTreeMap<String, Task>,
+    answered: Micros,
+    at: usize,
+    timer: u64,
+    dead: bool,
+    hangs: Micros,
+}
+
+#[derive(Default)]
+struct Store {
+    data: BTreeMap<String, (Value, u64, Option<u64>)>,
+    log: Vec<(u64, String, Option<Value>)>,
+    revision: u64,
+    grants: BTreeMap<u64, (Micros, Micros)>,
+    next_grant: u64,
+    watches: BTreeMap<u64, (usize, u64, CallId, u64)>,
+    next_watch: u64,
+    down: Micros,
+}
+
+struct Job {
+    spec: Value,
+    cpus: f64,
+    tasks: u32,
+    run: Micros,
+    accepted: bool,
+    cancel_told: Option<Micros>,
+    cancel_asked: bool,
+    done_told: bool,
+    done: BTreeSet<u32>,
+    over: bool,
+}
+
+/// What a run is made of.
+struct Plan {
+    seed: u64,
+    faults: Vec<(Micros, Fault)>,
+    jobs: u32,
+    end: Micros,
+}
+
+struct World {
+    now: Micros,
+    seq: u64,
+    queue: BTreeMap<(Micros, u64), Ev>,
+    rng: fastrand::Rng,
+    ctls: Vec<Ctl>,
+    store: Store,
+    workers: BTreeMap<String, Worker>,
+    next_machine: u32,
+    tenancies: BTreeMap<String, Vec<String>>,
+    cloud_down: Micros,
+    jobs: BTreeMap<String, Job>,
+    broken: Vec<String>,
+    starts: u32,
+    settings: Vec<Settings>,
+    plant: bool,
+}
+
+const LATENCY: Micros = MILLI;
+
+fn reply(status: u16, v: Value) -> Response {
+    Response::new(status, rmp_serde::to_vec(&v).unwrap())
+}
+
+fn read(body: &[u8]) -> Value {
+    rmp_serde::from_slice(body).unwrap_or(Value::Null)
+}
+
+impl World {
+    fn new(plan: &Plan, plant: bool) -> Self {
+        let base: Value = serde_json::from_str(&crate::settings::tests::sample()).unwrap();
+        let settings: Vec<Settings> = (0..3)
+            .map(|i| {
+                let mut v = base.clone();
+                v["host_name"] = json!(format!("t-{i}"));
+                let others: Vec<Value> = (0..3)
+                    .filter(|j| *j != i)
+                    .map(|j| json!({"host_name": format!("t-{j}"), "area": "a", "addr": format!("127.0.0.1:70{j}1")}))
+                    .collect();
+                v["others"] = json!(others);
+                Settings::parse("sim", &v.to_string()).unwrap()
+            })
+            .collect();
+        let mut w = World {
+            now: 1,
+            seq: 0,
+            queue: BTreeMap::new(),
+            rng: fastrand::Rng::with_seed(plan.seed),
+            ctls: Vec::new(),
+            store: Store {
+                revision: 1,
+                next_grant: 1,
+                ..Default::default()
+            },
+            workers: BTreeMap::new(),
+            next_machine: 0,
+            tenancies: BTreeMap::new(),
+            cloud_down: 0,
+            jobs: BTreeMap::new(),
+            broken: Vec::new(),
+            starts: 0,
+            settings,
+            plant,
+        };
+        for i in 0..3 {
+            w.ctls.push(Ctl {
+                node: None,
+                shared: Rc::default(),
+                boot: 0,
+                life: 0,
+                wake: 0,
+                conns: BTreeMap::new(),
+                next_conn: 0,
+                cut_store: 0,
+                cut_workers: 0,
+                cut_mesh: 0,
+            });
+            w.at(1 + i as u64 * 50 * MILLI, Ev::Boot(i));
+        }
+        for i in 0..plan.jobs {
+            let id = format!("req-{:06}", 100 + i * 7 % plan.jobs.max(1));
+            let kind = ["batch", "batch", "gang", "standing"][w.rng.usize(0..4)];
+            let tasks = if kind == "batch" {
+                w.rng.u32(1..12)
+            } else {
+                w.rng.u32(1..4)
+            };
+            let cpus = [0.5, 1.0, 2.0][w.rng.usize(0..3)];
+            let team = ["red", "blue"][w.rng.usize(0..2)];
+            let run = w.rng.u64(3..25);
+            let spec = json!({"nameId": id, "crop": "x", "crew": team, "furrow": kind, "rank": "standard",
+                "sheaves": tasks, "cores": cpus, "cards": 0.0, "memoryGb": 1.0, "seed": "img", "sizeGb": 1.0,
+                "plots": null, "field": null, "samePlace": false, "spread": false, "fallow": w.rng.bool(),
+                "growthS": if kind == "standing" { 0 } else { run }, "stookS": 0.0, "bindS": 0.0, "harvestS": null});
+            let at = SECOND * w.rng.u64(1..plan.end / SECOND / 2);
+            if kind == "standing" || w.rng.u32(0..5) == 0 {
+                let t = at + SECOND * w.rng.u64(1..40);
+                w.at(t, Ev::User(id.clone(), What::Abort));
+            }
+            w.at(at, Ev::User(id.clone(), What::Submit));
+            w.jobs.insert(
+                id,
+                Job {
+                    spec,
+                    cpus,
+                    tasks,
+                    run: run * SECOND,
+                    accepted: false,
+                    cancel_told: None,
+                    cancel_asked: false,
+                    done_told: false,
+                    done: BTreeSet::new(),
+                    over: false,
+                },
+            );
+        }
+        for (at, f) in &plan.faults {
+            w.at(*at, Ev::Fault(*f));
+        }
+        w
+    }
+
+    fn at(&mut self, t: Micros, ev: Ev) {
+        self.seq += 1;
+        self.queue.insert((t.max(self.now), self.seq), ev);
+    }
+
+    fn lag(&mut self) -> Micros {
+        LATENCY + self.rng.u64(0..LATENCY)
+    }
+
+    fn breaks(&mut self, rule: &str, what: String) {
+        self.broken
+            .push(format!("{:.3} {rule}: {what}", self.now as f64 / 1e6));
+    }
+
+    fn run(&mut self, end: Micros) {
+        while let Some((&(t, _), _)) = self.queue.first_key_value() {
+            if t > end || !self.broken.is_empty() {
+                break;
+            }
+            let Some(((t, _), ev)) = self.queue.pop_first() else {
+                break;
+            };
+            self.now = t;
+            self.step(ev);
+        }
+    }
+
+    fn step(&mut self, ev: Ev) {
+        match ev {
+            Ev::Boot(i) => self.boot(i),
+            Ev::Wake(i, wake) => {
+                if self.ctls[i].wake == wake && self.ctls[i].node.is_some() {
+                    self.drive(i, None);
+                }
+            }
+            Ev::Ask(i, req, asker) => {
+                if self.ctls[i].node.is_none() {
+                    self.fail(asker);
+                    return;
+                }
+                let c = &mut self.ctls[i];
+                c.next_conn += 1;
+                c.conns.insert(c.next_conn, asker);
+                let id = ConnId {
+                    slot: 0,
+                    generation: c.next_conn,
+                };
+                self.drive(i, Some(NetEvent::Request(id, req)));
+            }
+            Ev::Answer(asker, r) => self.answer(asker, r),
+            Ev::Serve(i, life, id, call) => self.serve(i, life, id, call),
+            Ev::Returned(i, life, id, r) => {
+                if self.ctls[i].life == life && self.ctls[i].node.is_some() {
+                    self.drive(i, Some(NetEvent::Response(id, r)));
+                }
+            }
+            Ev::Frame(i, b) => {
+                if self.ctls[i].node.is_some() {
+                    self.drive(i, Some(NetEvent::Frame(b)));
+                }
+            }
+            Ev::Report(m, timer) => self.report(&m, timer),
+            Ev::Progress(m, season) => self.progress(&m, season),
+            Ev::MachineUp(m) => {
+                if let Some(w) = self.workers.get_mut(&m) {
+                    w.answered = self.now;
+                    w.timer += 1;
+                    let t = w.timer;
+                    self.at(self.now, Ev::Report(m, t));
+                }
+            }
+            Ev::User(id, what) => self.user(id, what),
+            Ev::WatchEnds(n) => {
+                if let Some((i, life, id, from)) = self.store.watches.remove(&n) {
+                    let r = self.changes(from);
+                    self.back(i, life, id, Ok(r));
+                }
+            }
+            Ev::Fault(f) => self.fault(f),
+        }
+    }
+
+    fn boot(&mut self, i: usize) {
+        let c = &mut self.ctls[i];
+        c.life += 1;
+        c.boot = self.now;
+        c.conns.clear();
+        c.shared = Rc::default();
+        c.shared.borrow_mut().next_call = c.life * 1_000_000;
+        let net = SimNet {
+            shared: c.shared.clone(),
+        };
+        let mut node = Node::new(self.settings[i].clone(), net);
+        if self.plant {
+            node.plant_hasty_takeover();
+        }
+        c.node = Some(node);
+        self.set_clock(i);
+        if let Some(n) = self.ctls[i].node.as_mut() {
+            n.begin();
+        }
+        self.drive(i, None);
+    }
+
+    fn set_clock(&mut self, i: usize) {
+        let now = self.now;
+        let c = &mut self.ctls[i];
+        let mut s = c.shared.borrow_mut();
+        // Steady clocks run apart: each controller's is a little fast.
+        let dt = now - c.boot;
+        s.clock = dt + dt * i as u64 / 4000 + 1;
+        s.wall = 1_000_000_000_000 + now;
+    }
+
+    fn drive(&mut self, i: usize, ev: Option<NetEvent>) {
+        self.set_clock(i);
+        let Some(n) = self.ctls[i].node.as_mut() else {
+            return;
+        };
+        if let Some(ev) = ev {
+            n.handle(ev);
+        }
+        let until = n.step();
+        let clock = self.ctls[i].shared.borrow().clock;
+        let outs = std::mem::take(&mut self.ctls[i].shared.borrow_mut().out);
+        let life = self.ctls[i].life;
+        for o in outs {
+            match o {
+                Out::Respond(id, r) => {
+                    if let Some(asker) = self.ctls[i].conns.remove(&id.generation) {
+                        let cut = matches!(asker, Asker::Worker { .. })
+                            && self.now < self.ctls[i].cut_workers;
+                        let lag = self.lag();
+                        if !cut {
+                            self.at(self.now + lag, Ev::Answer(asker, r));
+                        }
+                    }
+                }
+                Out::Call(id, call) => {
+                    let timeout = call.timeout;
+                    let lag = self.lag();
+                    let cut = call.dest == 0 && self.now < self.ctls[i].cut_store;
+                    if cut {
+                        // Held back by the cut and executed when it ends, long
+                        // after its sender has given up.
+                        let late = self.ctls[i].cut_store + lag;
+                        if call.method == "POST" && self.rng.bool() {
+                            self.at(late, Ev::Serve(i, u64::MAX, id, call));
+                        }
+                        self.at(
+                            self.now + timeout,
+                            Ev::Returned(i, life, id, Err(CallError::NoAnswer)),
+                        );
+                    } else {
+                        self.at(self.now + lag, Ev::Serve(i, life, id, call));
+                    }
+                }
+                Out::Send(peer, b) => {
+                    let name = &self.settings[i].peers[peer].name;
+                    let to = (0..3).find(|j| self.settings[*j].name == *name).unwrap();
+                    let cut = self.now < self.ctls[i].cut_mesh.max(self.ctls[to].cut_mesh);
+                    let lag = self.lag();
+                    if !cut {
+                        self.at(self.now + lag, Ev::Frame(to, b));
+                    }
+                }
+            }
+        }
+        let c = &mut self.ctls[i];
+        c.wake += 1;
+        let wake = c.wake;
+        let wait = until.saturating_sub(clock).max(MILLI);
+        self.at(self.now + wait, Ev::Wake(i, wake));
+    }
+
+    /// A request that no controller takes.
+    fn fail(&mut self, asker: Asker) {
+        let lag = self.lag();
+        self.at(
+            self.now + lag,
+            Ev::Answer(asker, Response::new(0, Vec::new())),
+        );
+    }
+
+    fn back(&mut self, i: usize, life: u64, id: CallId, r: Result<Response, CallError>) {
+        let lag = self.lag();
+        // A cut takes answers, too.
+        if self.now < self.ctls[i].cut_store {
+            self.at(
+                self.now + 2 * SECOND,
+                Ev::Returned(i, life, id, Err(CallError::NoAnswer)),
+            );
+        } else {
+            self.at(self.now + lag, Ev::Returned(i, life, id, r));
+        }
+    }
+
+    // --- State service and cloud --------------------------------------------
+
+    fn serve(&mut self, i: usize, life: u64, id: CallId, call: Call) {
+        let (path, query) = call.target.split_once('?').unwrap_or((&call.target, ""));
+        let path = path.to_owned();
+        let query = query.to_owned();
+        let body = read(&call.body);
+        if call.dest == 1 {
+            let r = self.cloud(&path, &body);
+            return self.back(i, life, id, Ok(r));
+        }
+        self.expire_grants();
+        if self.now < self.store.down {
+            return self.back(i, life, id, Ok(Response::new(503, Vec::new())));
+        }
+        let r = match path.as_str() {
+            "/store" => {
+                let from = query_value(&query, "from").unwrap_or("").to_owned();
+                let all: Vec<Value> = self
+                    .store
+                    .data
+                    .range(from.clone()..)
+                    .filter(|(k, _)| **k != from)
+                    .map(|(k, (v, m, _))| json!({"k": k, "value": v, "mark": m}))
+                    .collect();
+                let more = all.len() > 20;
+                let pairs: Vec<Value> = all.into_iter().take(20).collect();
+                reply(
+                    200,
+                    json!({"pairs": pairs, "more": more, "almanac": self.store.revision}),
+                )
+            }
+            "/follow" => {
+                let from: u64 = query_value(&query, "from").unwrap().parse().unwrap();
+                let wait: u64 = query_value(&query, "waitMs").unwrap().parse().unwrap();
+                let news = self.store.log.last().is_some_and(|(m, _, _)| *m > from);
+                if wait > 0 && !news {
+                    let n = self.store.next_watch;
+                    self.store.next_watch += 1;
+                    self.store.watches.insert(n, (i, life, id, from));
+                    self.at(self.now + wait * MILLI, Ev::WatchEnds(n));
+                    return;
+                }
+                self.changes(from)
+            }
+            "/commit" => self.commit(&body),
+            "/grants" => {
+                let g = self.store.next_grant;
+                self.store.next_grant += 1;
+                let life = body["lifeMs"].as_u64().unwrap() * MILLI;
+                self.store.grants.insert(g, (life, self.now + life));
+                reply(200, json!({ "tenure": g }))
+            }
+            p => {
+                let g: u64 = p.split('/').nth(2).unwrap().parse().unwrap();
+                match self.store.grants.get_mut(&g) {
+                    Some((life, until)) => {
+                        *until = self.now + *life;
+                        reply(200, json!({}))
+                    }
+                    None => reply(404, json!({})),
+                }
+            }
+        };
+        self.back(i, life, id, Ok(r));
+    }
+
+    fn changes(&self, from: u64) -> Response {
+        let events: Vec<Value> = self
+            .store
+            .log
+            .iter()
+            .filter(|(m, _, _)| *m > from)
+            .map(|(m, k, v)| match v {
+                Some(v) => json!({"put": k, "value": v, "mark": m}),
+                None => json!({"delete": k, "mark": m}),
+            })
+            .collect();
+        reply(
+            200,
+            json!({"almanac": self.store.revision, "events": events}),
+        )
+    }
+
+    fn wake_watches(&mut self) {
+        let ready: Vec<u64> = self.store.watches.keys().copied().collect();
+        for n in ready {
+            if let Some((i, life, id, from)) = self.store.watches.remove(&n) {
+                let r = self.changes(from);
+                self.back(i, life, id, Ok(r));
+            }
+        }
+    }
+
+    fn expire_grants(&mut self) {
+        if self.now < self.store.down {
+            return;
+        }
+        let now = self.now;
+        let dead: Vec<u64> = self
+            .store
+            .grants
+            .iter()
+            .filter(|(_, (_, until))| *until <= now)
+            .map(|(g, _)| *g)
+            .collect();
+        for g in dead {
+            self.store.grants.remove(&g);
+            let keys: Vec<String> = self
+                .store
+                .data
+                .iter()
+                .filter(|(_, (_, _, l))| *l == Some(g))
+                .map(|(k, _)| k.clone())
+                .collect();
+            if !keys.is_empty() {
+                self.store.revision += 1;
+                for k in keys {
+                    self.store.data.remove(&k);
+                    self.store.log.push((self.store.revision, k, None));
+                }
+                self.wake_watches();
+            }
+        }
+    }
+
+    fn commit(&mut self, body: &Value) -> Response {
+        let empty = Vec::new();
+        for w in body["when"].as_array().unwrap_or(&empty) {
+            let k = w["k"].as_str().unwrap();
+            let have = self.store.data.get(k).map_or(0, |(_, m, _)| *m);
+            if have != w["mark"].as_u64().unwrap() {
+                return reply(409, json!({"failed": [k], "almanac": self.store.revision}));
+            }
+        }
+        let apply = body["apply"].as_array().unwrap();
+        assert!(
+            apply.len() <= 12,
+            "more changes than a transaction may hold"
+        );
+        for a in apply {
+            if let Some(l) = a["tenure"].as_u64() {
+                if !self.store.grants.contains_key(&l) {
+                    return reply(400, json!({"error": "no such lease"}));
+                }
+            }
+        }
+        self.store.revision += 1;
+        let m = self.store.revision;
+        for a in apply {
+            if let Some(k) = a["put"].as_str() {
+                assert!(a["value"].to_string().len() <= 4096, "value too large: {k}");
+                let v = (a["value"].clone(), m, a["tenure"].as_u64());
+                self.store.data.insert(k.into(), v);
+                self.store.log.push((m, k.into(), Some(a["value"].clone())));
+            } else if let Some(k) = a["delete"].as_str() {
+                if self.store.data.remove(k).is_some() {
+                    self.store.log.push((m, k.into(), None));
+                }
+            }
+        }
+        self.wake_watches();
+        reply(200, json!({ "almanac": m }))
+    }
+
+    fn cloud(&mut self, path: &str, body: &Value) -> Response {
+        if self.now < self.cloud_down {
+            return reply(503, json!({"error": "trouble"}));
+        }
+        match path {
+            "/flavors" => reply(
+                200,
+                json!({"plots": [
+                    {"label": "box", "cores": 4, "cards": 0, "memoryGb": 16, "pullGbPerS": 1.0, "price": 0.3,
+                     "lowPrice": 0.1, "startupS": 5, "fields": ["a"]},
+                    {"label": "rack", "cores": 8, "cards": 0, "memoryGb": 64, "pullGbPerS": 1.0, "price": 0.7,
+                     "lowPrice": 0.3, "startupS": 8, "fields": ["a"]}]}),
+            ),
+            "/machines/release" => {
+                for n in body["tillers"].as_array().unwrap() {
+                    self.workers.remove(n.as_str().unwrap());
+                }
+                reply(200, json!({}))
+            }
+            _ if body.is_object() => {
+                let tenancy = body["tenancy"].as_str().unwrap().to_owned();
+                if let Some(names) = self.tenancies.get(&tenancy) {
+                    return reply(200, json!({ "tillers": names }));
+                }
+                if self.workers.len() >= 8 {
+                    return reply(503, json!({"error": "no capacity"}));
+                }
+                let n = body["count"]
+                    .as_u64()
+                    .unwrap()
+                    .min(8 - self.workers.len() as u64);
+                let mut names = Vec::new();
+                for _ in 0..n {
+                    let name = format!("m-{:06}", self.next_machine);
+                    self.next_machine += 1;
+                    let w = Worker {
+                        flavor: body["plot"].as_str().unwrap().into(),
+                        spot: body["fallow"].as_bool().unwrap(),
+                        season: 1,
+                        tally: 0,
+                        token: 0,
+                        tasks: BTreeMap::new(),
+                        answered: 0,
+                        at: self.rng.usize(0..3),
+                        timer: 0,
+                        dead: false,
+                        hangs: 0,
+                    };
+                    self.workers.insert(name.clone(), w);
+                    let up = self.now + self.rng.u64(1..10) * SECOND;
+                    self.at(up, Ev::MachineUp(name.clone()));
+                    names.push(name);
+                }
+                self.tenancies.insert(tenancy, names.clone());
+                reply(200, json!({ "tillers": names }))
+            }
+            _ => reply(200, json!({"tillers": [], "more": false})),
+        }
+    }
+
+    // --- Workers --------------------------------------------------------------
+
+    fn report(&mut self, name: &str, timer: u64) {
+        let now = self.now;
+        let Some(w) = self.workers.get_mut(name) else {
+            return;
+        };
+        if w.timer != timer || w.dead {
+            return;
+        }
+        if now < w.hangs {
+            let at = w.hangs;
+            return self.at(at, Ev::Report(name.into(), timer));
+        }
+        if now > w.answered + 16 * SECOND {
+            w.season += 1;
+            w.tasks.clear();
+            w.answered = now;
+        }
+        w.tally += 1;
+        let tasks: Vec<Value> = w
+            .tasks
+            .iter()
+            .map(|(t, s)| {
+                let mut v = json!({"sheaf": t, "sowing": s.attempt, "stage": s.stage});
+                if s.stage == "ended" {
+                    v["blight"] = json!(s.why);
+                }
+                v
+            })
+            .collect();
+        let body = json!({"tiller": name, "address": "x", "plot": w.flavor, "field": "a", "fallow": w.spot,
+            "season": w.season, "tally": w.tally, "brand": w.token, "reclaimS": null, "sheaves": tasks});
+        let asker = Asker::Worker {
+            machine: name.into(),
+            season: w.season,
+            sent: now,
+            tally: w.tally,
+        };
+        let req = Request {
+            method: "POST".into(),
+            path: "/v1/report".into(),
+            query: String::new(),
+            body: rmp_serde::to_vec(&body).unwrap(),
+            close: false,
+        };
+        let to = w.at;
+        w.timer += 1;
+        let t = w.timer;
+        // Without an answer for 4 s the worker turns to the next node.
+        self.at(now + 4 * SECOND, Ev::Report(name.into(), t));
+        let lag = self.lag();
+        if now < self.ctls[to].cut_workers {
+            // Half of what a cut holds back comes late, the rest never.
+            if self.rng.bool() {
+                let at = self.ctls[to].cut_workers + lag;
+                self.at(at, Ev::Ask(to, req, asker));
+            }
+            if let Some(w) = self.workers.get_mut(name) {
+                w.at = (to + 1) % 3;
+            }
+        } else {
+            self.at(now + lag, Ev::Ask(to, req, asker));
+        }
+    }
+
+    fn answer(&mut self, asker: Asker, r: Response) {
+        match asker {
+            Asker::Worker {
+                machine,
+                season,
+                sent,
+                tally,
+            } => self.answer_worker(&machine, season, sent, tally, r),
+            Asker::User { job, what } => self.answer_user(job, what, r),
+        }
+    }
+
+    fn answer_worker(&mut self, name: &str, season: u64, sent: Micros, tally: u64, r: Response) {
+        let now = self.now;
+        let next = now + SECOND * 3;
+        let hosts: Vec<String> = self.settings.iter().map(|s| s.name.clone()).collect();
+        let Some(w) = self.workers.get_mut(name) else {
+            return;
+        };
+        if w.dead
+            || w.season != season
+            || w.tally != tally
+            || now > sent + 4 * SECOND
+            || now < w.hangs
+        {
+            return;
+        }
+        w.timer += 1;
+        let t = w.timer;
+        let v = read(&r.body);
+        if r.status != 200 {
+            let to = v["steward"]
+                .as_str()
+                .and_then(|s| hosts.iter().position(|h| h == s));
+            let wait = match to {
+                Some(i) if r.status == 421 && i != w.at => {
+                    w.at = i;
+                    100 * MILLI
+                }
+                _ => {
+                    w.at = (w.at + 1) % 3;
+                    SECOND
+                }
+            };
+            return self.at(now + wait, Ev::Report(name.into(), t));
+        }
+        let token = v["brand"].as_u64().unwrap_or(0);
+        if token < w.token {
+            return self.at(next, Ev::Report(name.into(), t));
+        }
+        let soon = token > w.token || v["calls"].as_array().is_some_and(|c| !c.is_empty());
+        w.token = token;
+        w.answered = sent;
+        for c in v["calls"].as_array().cloned().unwrap_or_default() {
+            let task = c["sheaf"].as_str().unwrap().to_owned();
+            let attempt = c["sowing"].as_u64().unwrap();
+            self.command(name, c["call"].as_str().unwrap(), task, attempt);
+        }
+        let at = if soon { now + SECOND / 2 } else { next };
+        self.at(at, Ev::Report(name.into(), t));
+    }
+
+    fn command(&mut self, name: &str, call: &str, task: String, attempt: u64) {
+        let (job, n) = crate::model::parse_task(&task).unwrap();
+        let (job, n) = (job.to_owned(), n);
+        match call {
+            "start" => {
+                let Some(j) = self.jobs.get(&job) else { return };
+                let known = self.workers[name].tasks.get(&task);
+                if known.is_some_and(|t| t.attempt == attempt) {
+                    return;
+                }
+                self.starts += 1;
+                // On a machine already, whatever that machine is doing?
+                let elsewhere: Vec<String> = self
+                    .workers
+                    .iter()
+                    .filter(|(m, w)| {
+                        *m != name
+                            && !self.lapsed(w)
+                            && w.tasks.get(&task).is_some_and(|t| t.stage != "ended")
+                    })
+                    .map(|(m, _)| m.clone())
+                    .collect();
+                if let Some(m) = elsewhere.first() {
+                    let what = format!("{task} starts on {name} while on {m}");
+                    return self.breaks("ran_twice", what);
+                }
+                if let Some(t) = j.cancel_told {
+                    if self.now > t + 41 * SECOND {
+                        return self.breaks("ran_cancelled", task);
+                    }
+                }
+                if self.workers[name].spot && !j.spec["fallow"].as_bool().unwrap() {
+                    return self.breaks("wrong_place", task);
+                }
+                let gang = j.spec["furrow"] == "gang";
+                let service = j.spec["furrow"] == "standing";
+                let run = match (gang, service) {
+                    (true, _) => 30 * SECOND, // waits so long for the others
+                    (_, true) => 100_000 * SECOND,
+                    _ => j.run,
+                };
+                let done = j.done.contains(&n);
+                let ends = if done { self.now } else { self.now + run };
+                let stage = if gang && !done {
+                    "gathering"
+                } else {
+                    "running"
+                };
+                let t = Task {
+                    attempt,
+                    stage,
+                    why: "done",
+                    ends,
+                };
+                let season = self.workers[name].season;
+                if let Some(w) = self.workers.get_mut(name) {
+                    w.tasks.insert(task, t);
+                }
+                self.check_quota();
+                self.at(ends, Ev::Progress(name.into(), season));
+                if gang {
+                    self.gather(&job, attempt);
+                }
+            }
+            "stop" => {
+                if let Some(w) = self.workers.get_mut(name) {
+                    if let Some(t) = w.tasks.get_mut(&task) {
+                        if t.attempt == attempt && t.stage != "ended" {
+                            t.stage = "ended";
+                            t.why = "stopped";
+                        }
+                    }
+                }
+            }
+            _ => {
+                if let Some(w) = self.workers.get_mut(name) {
+                    if w.tasks
+                        .get(&task)
+                        .is_some_and(|t| t.attempt == attempt && t.stage == "ended")
+                    {
+                        w.tasks.remove(&task);
+                    }
+                }
+            }
+        }
+    }
+
+    fn gather(&mut self, job: &str, attempt: u64) {
+        let want = self.jobs[job].tasks;
+        let run = self.jobs[job].run;
+        let prefix = format!("{job}/");
+        let here: Vec<(String, String, u64)> = self
+            .workers
+            .iter()
+            .filter(|(_, w)| !w.dead)
+            .flat_map(|(m, w)| {
+                w.tasks
+                    .iter()
+                    .filter(|(t, s)| {
+                        t.starts_with(&prefix) && s.attempt == attempt && s.stage == "gathering"
+                    })
+                    .map(|(t, _)| (m.clone(), t.clone(), w.season))
+            })
+            .collect();
+        if here.len() as u32 == want {
+            let ends = self.now + run;
+            for (m, t, season) in here {
+                if let Some(s) = self.workers.get_mut(&m).and_then(|w| w.tasks.get_mut(&t)) {
+                    s.stage = "running";
+                    s.ends = ends;
+                }
+                self.at(ends, Ev::Progress(m, season));
+            }
+        }
+    }
+
+    /// Whether a worker is gone or has lost its lease, and with it its tasks.
+    fn lapsed(&self, w: &Worker) -> bool {
+        w.dead || self.now > w.answered + 16 * SECOND
+    }
+
+    /// Whether every task of a gang's attempt is there and running.
+    fn together(&self, job: &str, attempt: u64) -> bool {
+        (0..self.jobs[job].tasks).all(|n| {
+            let t = format!("{job}/{n}");
+            self.workers.values().any(|w| {
+                !self.lapsed(w)
+                    && w.tasks
+                        .get(&t)
+                        .is_some_and(|s| s.attempt == attempt && s.stage == "running")
+            })
+        })
+    }
+
+    fn progress(&mut self, name: &str, season: u64) {
+        let now = self.now;
+        let Some(w) = self.workers.get_mut(name) else {
+            return;
+        };
+        // A worker whose lease ran out has killed its tasks.
+        if w.season != season || w.dead || now > w.answered + 16 * SECOND {
+            return;
+        }
+        if now < w.hangs {
+            let at = w.hangs;
+            return self.at(at, Ev::Progress(name.into(), season));
+        }
+        w.timer += 1;
+        let timer = w.timer;
+        let due: Vec<(String, u64, &str)> = w
+            .tasks
+            .iter()
+            .filter(|(_, s)| s.stage != "ended" && s.ends <= now)
+            .map(|(t, s)| (t.clone(), s.attempt, s.stage))
+            .collect();
+        for (t, attempt, stage) in due {
+            let (job, n) = crate::model::parse_task(&t).unwrap();
+            let gang = self.jobs[job].spec["furrow"] == "gang";
+            let known = self.jobs[job].done.contains(&n);
+            // A gang is done together, or not at all.
+            let whole = !gang || known || self.together(job, attempt);
+            let why = match (stage, whole) {
+                ("gathering", _) => "incomplete",
+                (_, true) => "done",
+                _ => "mates_gone",
+            };
+            if let Some(s) = self.workers.get_mut(name).and_then(|w| w.tasks.get_mut(&t)) {
+                s.stage = "ended";
+                s.why = why;
+            }
+            if why == "done" {
+                if let Some(j) = self.jobs.get_mut(job) {
+                    if gang {
+                        j.done.extend(0..j.tasks);
+                    } else {
+                        j.done.insert(n);
+                    }
+                }
+            }
+        }
+        self.at(now + 10 * MILLI, Ev::Report(name.into(), timer));
+    }
+
+    fn check_quota(&mut self) {
+        let mut used: BTreeMap<String, f64> = BTreeMap::new();
+        for w in self.workers.values().filter(|w| !self.lapsed(w)) {
+            for (t, s) in &w.tasks {
+                if s.stage != "ended" {
+                    let j = &self.jobs[crate::model::parse_task(t).unwrap().0];
+                    *used
+                        .entry(j.spec["crew"].as_str().unwrap().into())
+                        .or_default() += j.cpus;
+                }
+            }
+        }
+        for (team, u) in used {
+            let limit = self.settings[0].team(&team).unwrap().limit.cpus as f64 / 1e6;
+            if u > limit + 1e-6 {
+                self.breaks("quota", format!("{team} uses {u} of {limit}"));
+            }
+        }
+    }
+
+    // --- Users ----------------------------------------------------------------
+
+    fn user(&mut self, id: String, what: What) {
+        let j = &self.jobs[&id];
+        if j.over || (what != What::Submit && !j.accepted) {
+            if what == What::Abort && !j.over {
+                self.at(self.now + SECOND, Ev::User(id, what));
+            }
+            return;
+        }
+        let (method, path, body) = match what {
+            What::Submit => (
+                "POST",
+                "/work".to_owned(),
+                rmp_serde::to_vec(&j.spec).unwrap(),
+            ),
+            What::Poll => ("GET", format!("/work/{id}"), Vec::new()),
+            What::Abort => ("POST", format!("/work/{id}/abort"), Vec::new()),
+        };
+        if what == What::Abort {
+            if let Some(j) = self.jobs.get_mut(&id) {
+                j.cancel_asked = true;
+            }
+        }
+        let req = Request {
+            method: method.into(),
+            path,
+            query: String::new(),
+            body,
+            close: false,
+        };
+        let to = self.rng.usize(0..3);
+        let lag = self.lag();
+        self.at(
+            self.now + lag,
+            Ev::Ask(to, req, Asker::User { job: id, what }),
+        );
+    }
+
+    fn answer_user(&mut self, id: String, what: What, r: Response) {
+        let again = self.now + SECOND * if what == What::Poll { 5 } else { 1 };
+        if !matches!(r.status, 200 | 201) {
+            let accepted = self.jobs[&id].accepted;
+            if matches!(r.status, 400 | 422) || (accepted && r.status == 404) {
+                self.breaks("forgotten", format!("{id}: {what:?} got {}", r.status));
+            }
+            return self.at(again, Ev::User(id, what));
+        }
+        let stage = read(&r.body)["stage"].as_str().unwrap_or("").to_owned();
+        let now = self.now;
+        let Some(j) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let mut wrong = None;
+        if (j.done_told && stage != "done") || (j.cancel_told.is_some() && stage != "cancelled") {
+            wrong = Some("went_back");
+        }
+        if stage == "cancelled" && !j.cancel_asked {
+            wrong = Some("went_back");
+        }
+        if stage == "done" && (j.done.len() as u32) < j.tasks {
+            wrong = Some("not_done");
+        }
+        j.accepted = true;
+        match stage.as_str() {
+            "done" => j.done_told = true,
+            "cancelled" => {
+                j.cancel_told.get_or_insert(now);
+            }
+            _ => {}
+        }
+        let first = what == What::Submit;
+        if let Some(rule) = wrong {
+            return self.breaks(rule, format!("{id}: {what:?} says {stage}"));
+        }
+        if what != What::Abort && (first || what == What::Poll) {
+            self.at(again + 4 * SECOND, Ev::User(id, What::Poll));
+        }
+    }
+
+    // --- Faults ---------------------------------------------------------------
+
+    fn fault(&mut self, f: Fault) {
+        let now = self.now;
+        match f {
+            Fault::Crash(i) => {
+                if self.ctls[i].node.take().is_some() {
+                    let wait = [SECOND / 5, 5 * SECOND][self.rng.usize(0..2)];
+                    self.at(now + wait, Ev::Boot(i));
+                }
+            }
+            Fault::StoreDown(d) => {
+                self.store.down = now + d;
+                // After an outage every lease has its full time again.
+                for (life, until) in self.store.grants.values_mut() {
+                    *until = now + d + *life;
+                }
+            }
+            Fault::CutStore(i, d) => self.ctls[i].cut_store = now + d,
+            Fault::CutWorkers(i, d) => self.ctls[i].cut_workers = now + d,
+            Fault::CutMesh(i, d) => self.ctls[i].cut_mesh = now + d,
+            Fault::CloudDown(d) => self.cloud_down = now + d,
+            Fault::MachineDies | Fault::MachineHangs(_) => {
+                let names: Vec<String> = self.workers.keys().cloned().collect();
+                if names.is_empty() {
+                    return;
+                }
+                let name = &names[self.rng.usize(0..names.len())];
+                if let Some(w) = self.workers.get_mut(name) {
+                    match f {
+                        Fault::MachineHangs(d) => w.hangs = now + d,
+                        _ => {
+                            w.dead = true;
+                            w.tasks.clear();
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// Every cancelled job's tasks are gone in time, hanging machines included.
+    fn check_cancelled(&mut self) {
+        let late: Vec<String> = self
+            .workers
+            .values()
+            .filter(|w| !self.lapsed(w))
+            .flat_map(|w| {
+                w.tasks
+                    .iter()
+                    .filter(|(_, s)| s.stage != "ended")
+                    .map(|(t, _)| t.clone())
+            })
+            .filter(|t| {
+                self.jobs[crate::model::parse_task(t).unwrap().0]
+                    .cancel_told
+                    .is_some_and(|c| self.now > c + 41 * SECOND)
+            })
+            .collect();
+        for t in late {
+            self.breaks("ran_cancelled", t);
+        }
+    }
+}
+
+fn plan(seed: u64) -> Plan {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let end = 240 * SECOND;
+    let mut faults = Vec::new();
+    for _ in 0..rng.u32(2..9) {
+        let at = SECOND * rng.u64(10..150);
+        let long = SECOND * rng.u64(2..45);
+        let i = rng.usize(0..3);
+        faults.push((
+            at,
+            match rng.u32(0..9) {
+                0 | 1 => Fault::Crash(i),
+                2 => Fault::StoreDown(long),
+                3 => Fault::CutStore(i, long),
+                4 => Fault::CutWorkers(i, long),
+                5 => Fault::CutMesh(i, long),
+                6 => Fault::CloudDown(long),
+                7 => Fault::MachineDies,
+                _ => Fault::MachineHangs(long),
+            },
+        ));
+        if rng.u32(0..6) == 0 {
+            faults.extend((0..3).map(|i| (at + SECOND, Fault::Crash(i))));
+        }
+    }
+    Plan {
+        seed,
+        faults,
+        jobs: 24,
+        end,
+    }
+}
+
+/// The seeds to play; a longer look is had with `SALTTILLER_SEEDS=1000`.
+fn seeds() -> std::ops::RangeInclusive<u64> {
+    let n = std::env::var("SALTTILLER_SEEDS").ok();
+    1..=n.and_then(|n| n.parse().ok()).unwrap_or(40)
+}
+
+fn play(p: &Plan, plant: bool) -> World {
+    fastrand::seed(p.seed);
+    let mut w = World::new(p, plant);
+    let mut t = 5 * SECOND;
+    while t <= p.end + 120 * SECOND && w.broken.is_empty() {
+        w.run(t);
+        w.check_cancelled();
+        t += 5 * SECOND;
+    }
+    w
+}
+
+/// Seeded days with faults of all kinds keep every rule, and when the faults are
+/// over the work gets done.
+#[test]
+fn days_with_faults_keep_the_rules() {
+    let mut starts = 0;
+    for seed in seeds() {
+        let p = plan(seed);
+        let w = play(&p, false);
+        assert!(
+            w.broken.is_empty(),
+            "seed {seed}: {:?}, faults {:?}",
+            w.broken,
+            p.faults
+        );
+        for (id, j) in &w.jobs {
+            let over = j.done_told || j.cancel_told.is_some();
+            assert!(
+                j.accepted && over,
+                "seed {seed}: {id} not over, {} of {} done, {}, records {:?}, faults {:?}",
+                j.done.len(),
+                j.tasks,
+                j.spec,
+                w.store
+                    .data
+                    .iter()
+                    .filter(|(k, _)| k.contains(id.as_str())
+                        || k.contains("region")
+                        || k.contains("machine")
+                        || k.contains("quota"))
+                    .map(|(k, v)| format!("{k} {}", v.0))
+                    .collect::<Vec<_>>(),
+                p.faults
+            );
+        }
+        starts += w.starts;
+    }
+    let least = 50 * seeds().end();
+    assert!(starts as u64 > least, "only {starts} starts");
+}
+
+/// The same days catch a planted fault: owners that don't account for a former
+/// owner's machines before they start its tasks again.
+#[test]
+fn a_planted_fault_is_caught() {
+    let caught = (1..=40)
+        .filter(|seed| {
+            let w = play(&plan(*seed), true);
+            w.broken.iter().any(|b| b.contains("ran_twice"))
+        })
+        .count();
+    assert!(caught > 0);
+}
