--- /dev/null
+++ b/src/region/records.rs
@@ -0,0 +1,347 @@
+//! What the region puts on record: progress, ends, shares of limits, tasks given
+//! to another region; and what follows from each commit's end.
+
+use super::*;
+
+impl Region {
+    /// Notes under which ticket a commit went out.
+    pub fn sent(&mut self, ticket: u64, purpose: Purpose) {
+        self.tickets.insert(ticket, purpose);
+    }
+
+    /// Takes the end of a commit, if it was ours.
+    pub fn on_committed(&mut self, ticket: u64, outcome: &Outcome, v: &View<'_>) -> bool {
+        let Some(purpose) = self.tickets.remove(&ticket) else {
+            return false;
+        };
+        match outcome {
+            Outcome::Done(_) => self.concluded(purpose, true, v),
+            Outcome::Conflict(revision) => self.conflicts.push((*revision, purpose)),
+            Outcome::Refused => self.concluded(purpose, false, v),
+            // May yet be carried out: what it would change stays set aside.
+            Outcome::Unknown => log::error!("region: {purpose:?}: commit ended unknown"),
+        }
+        true
+    }
+
+    /// After a conflict nothing is concluded before the replica shows why.
+    pub(super) fn settle_conflicts(&mut self, v: &View<'_>) {
+        let known = v.replica.revision;
+        let (ready, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.conflicts)
+            .into_iter()
+            .partition(|(r, _)| *r <= known);
+        self.conflicts = rest;
+        for (_, purpose) in ready {
+            log::debug!("region: {purpose:?}: conflict, looking again");
+            self.concluded(purpose, false, v);
+        }
+    }
+
+    pub(super) fn concluded(&mut self, purpose: Purpose, done: bool, v: &View<'_>) {
+        match purpose {
+            Purpose::Progress(id, set) => {
+                if let Some(j) = self.jobs.get_mut(&id) {
+                    j.writing = false;
+                    if done {
+                        j.pending.remove_all(&set);
+                    }
+                    self.write_progress(&id, v);
+                }
+            }
+            Purpose::Finish(id) => {
+                if let Some(j) = self.jobs.get_mut(&id) {
+                    j.writing = false;
+                }
+                if !done {
+                    self.on_progress(&id, v);
+                }
+            }
+            Purpose::Share(team) => {
+                if let Some(s) = self.shares.get_mut(team.as_str()) {
+                    s.pending = None;
+                }
+                self.dirty = true;
+            }
+            Purpose::Move(id) => {
+                if let Some(j) = self.jobs.get_mut(&id) {
+                    let back = std::mem::take(&mut j.moving);
+                    j.writing = false;
+                    if !done {
+                        j.waiting.add_all(&back);
+                    }
+                }
+                self.dirty = true;
+                self.after_out(&id);
+            }
+            Purpose::Open(name) => {
+                if let Some(m) = self.machines.get_mut(&name) {
+                    m.opening = false;
+                }
+                self.dirty = true;
+            }
+            Purpose::Forget(name) => {
+                if let Some(m) = self.machines.get_mut(&name) {
+                    m.releasing = false;
+                }
+            }
+        }
+    }
+
+    pub(super) fn when(&self) -> Vec<(Key, u64)> {
+        vec![(Key::Region(self.name.clone()), self.mark)]
+    }
+
+    /// Puts finished tasks on record, and the job's end once all are.
+    pub(super) fn write_progress(&mut self, id: &JobId, v: &View<'_>) {
+        let when = self.when();
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.writing || job.over || job.spec.kind == Kind::Service {
+            return;
+        }
+        let mut all = v.replica.done_tasks(id);
+        all.add_all(&job.pending);
+        let job_mark = v.replica.mark(&Key::Job(id.to_string()));
+        let complete = all.len() >= job.spec.tasks;
+        if complete {
+            let mut apply = vec![(
+                Key::Job(id.to_string()),
+                Some(value(&JobRecord {
+                    stage: Stage::Done,
+                    spec: None,
+                    parts: Vec::new(),
+                })),
+            )];
+            if let Some(chunks) = v.replica.progress.get(&**id) {
+                for (r, c) in chunks.keys().take(v.settings.txn_ops - 1) {
+                    apply.push((Key::Progress(id.to_string(), r.clone(), *c), None));
+                }
+            }
+            let mut when = when;
+            when.push((Key::Job(id.to_string()), job_mark));
+            job.writing = true;
+            let txn = Txn {
+                when,
+                apply,
+                lease: None,
+            };
+            self.out.push(Effect::Commit(
+                txn,
+                Urgency::First,
+                Purpose::Finish(id.clone()),
+            ));
+            return;
+        }
+        if job.pending.is_empty() || v.now < job.last_write + SECOND {
+            return;
+        }
+        job.last_write = v.now;
+        let mut when = when;
+        // A job that was moved or ended meanwhile is looked at again first.
+        when.push((Key::Job(id.to_string()), job_mark));
+        let mut apply = Vec::new();
+        let mut written = RangeSet::default();
+        let mut chunk_done: Option<u32> = None;
+        let most = (v.settings.txn_ops - 1).min(8);
+        for (s, e) in job.pending.iter() {
+            for chunk in s / CHUNK..=(e - 1) / CHUNK {
+                let (a, b) = (s.max(chunk * CHUNK), e.min((chunk + 1) * CHUNK));
+                if chunk_done == Some(chunk) {
+                    written.add(a, b);
+                    continue;
+                }
+                if apply.len() >= most {
+                    break;
+                }
+                chunk_done = Some(chunk);
+                written.add(a, b);
+                let key = Key::Progress(id.to_string(), self.name.clone(), chunk);
+                let mut set = RangeSet::default();
+                if let Some(old) = v
+                    .replica
+                    .progress
+                    .get(&**id)
+                    .and_then(|p| p.get(&(self.name.clone(), chunk)))
+                {
+                    read_bitmap(&old.value, chunk, &mut set);
+                }
+                set.add_all(&job.pending);
+                when.push((key.clone(), v.replica.mark(&key)));
+                apply.push((key, Some(value(&bitmap(&set, chunk)))));
+            }
+        }
+        job.writing = true;
+        let txn = Txn {
+            when,
+            apply,
+            lease: None,
+        };
+        self.out.push(Effect::Commit(
+            txn,
+            Urgency::Later,
+            Purpose::Progress(id.clone(), written),
+        ));
+    }
+
+    /// Finished tasks of a job came on record, perhaps those of another region.
+    /// Guards against a job whose last tasks two regions put on record at the
+    /// same moment, neither of them seeing the other's: whoever then sees that
+    /// all are there ends it.
+    pub fn on_progress(&mut self, id: &str, v: &View<'_>) {
+        let Some((id, job)) = self.jobs.get_key_value(id) else {
+            return;
+        };
+        if v.replica.done_tasks(id).len() + job.pending.len() >= job.spec.tasks {
+            let id = id.clone();
+            self.write_progress(&id, v);
+        }
+    }
+
+    /// What the region may use for a team just now.
+    pub(super) fn headroom(&self, team: &str, v: &View<'_>) -> Amount {
+        let rec = v.replica.quotas.get(team).map(|q| &q.value);
+        let mut share = quota::share(rec, &self.name);
+        match self.shares.get(team) {
+            None => share,
+            Some(s) => {
+                if let Some(p) = s.pending {
+                    share = share.min(p);
+                }
+                if self.settled {
+                    share.minus(s.used)
+                } else {
+                    share.minus(s.inherited).minus(s.fresh)
+                }
+            }
+        }
+    }
+
+    /// Takes what waiting tasks need of teams' limits, gives back what is spare.
+    pub(super) fn share_out(&mut self, v: &View<'_>) {
+        let teams: Vec<Rc<str>> = self.shares.keys().cloned().collect();
+        for team in teams {
+            let Some(limit) = v.settings.team(&team).map(|t| t.limit) else {
+                continue;
+            };
+            let rec = v.replica.quotas.get(&*team);
+            let have = quota::share(rec.map(|r| &r.value), &self.name);
+            let settled = self.settled;
+            let Some(s) = self.shares.get_mut(&team) else {
+                continue;
+            };
+            if s.pending.is_some() {
+                continue;
+            }
+            let used = if settled {
+                s.used
+            } else {
+                s.inherited.plus(s.fresh)
+            };
+            let target = used.plus(s.want);
+            let up = target.cpus > have.cpus || target.gpus > have.gpus;
+            if !up {
+                let spare = target != have;
+                let since = *s.surplus_since.get_or_insert(v.now);
+                if !spare || !settled {
+                    s.surplus_since = None;
+                    continue;
+                }
+                if v.now < since + 2 * SECOND {
+                    continue;
+                }
+            }
+            s.surplus_since = None;
+            let Some((q, new)) = quota::propose(rec.map(|r| &r.value), &self.name, limit, target)
+            else {
+                continue;
+            };
+            // Never below what is in use, whatever the limit says now.
+            if !used.within(new) {
+                continue;
+            }
+            s.pending = Some(new);
+            let key = Key::Quota(team.to_string());
+            let mut when = vec![(Key::Region(self.name.clone()), self.mark)];
+            when.push((key.clone(), rec.map_or(0, |r| r.mark)));
+            let txn = Txn {
+                when,
+                apply: vec![(key, Some(value(&q)))],
+                lease: None,
+            };
+            self.out.push(Effect::Commit(
+                txn,
+                Urgency::First,
+                Purpose::Share(team.to_string()),
+            ));
+        }
+    }
+
+    /// The leader asks for waiting tasks to be given away. Only tasks that are
+    /// on no machine move; a job whose tasks must keep together moves whole.
+    pub fn give(&mut self, job: &str, to: &str, count: u32, v: &View<'_>) {
+        let when = self.when();
+        let Some(id) = self.jobs.get_key_value(job).map(|(k, _)| k.clone()) else {
+            return;
+        };
+        let Some(rec) = v.replica.jobs.get(job) else {
+            return;
+        };
+        let me = self.name.clone();
+        let Some(j) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if j.over || j.writing || to == me || j.waiting.is_empty() {
+            return;
+        }
+        let whole = j.spec.kind == Kind::Gang || j.spec.one_zone || j.spec.spread;
+        let set = if whole {
+            if j.waiting.len() != j.spec.tasks {
+                return;
+            }
+            j.waiting.clone()
+        } else {
+            j.waiting.last_n(count)
+        };
+        let mut owners: Vec<Part> = Vec::new();
+        for Part(a, b, r) in &rec.value.parts {
+            let mut keep = RangeSet::from_range(*a, *b);
+            if *r == me {
+                keep.remove_all(&set);
+            }
+            owners.extend(keep.iter().map(|(s, e)| Part(s, e, r.clone())));
+        }
+        owners.extend(set.iter().map(|(s, e)| Part(s, e, to.to_owned())));
+        owners.sort_by_key(|p| p.0);
+        let mut parts: Vec<Part> = Vec::new();
+        for p in owners {
+            match parts.last_mut() {
+                Some(l) if l.1 == p.0 && l.2 == p.2 => l.1 = p.1,
+                _ => parts.push(p),
+            }
+        }
+        if parts.len() > 24 {
+            return; // the record must stay small
+        }
+        log::debug!("region: {job}: {} tasks given to {to}", set.len());
+        j.waiting.remove_all(&set);
+        j.moving = set;
+        j.writing = true;
+        let mut when = when;
+        let key = Key::Job(job.to_owned());
+        when.push((key.clone(), rec.mark));
+        let txn = Txn {
+            when,
+            apply: vec![(
+                key,
+                Some(value(&JobRecord {
+                    parts,
+                    ..rec.value.clone()
+                })),
+            )],
+            lease: None,
+        };
+        self.out
+            .push(Effect::Commit(txn, Urgency::First, Purpose::Move(id)));
+    }
+}
