--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -144,7 +144,9 @@
     queue: VecDeque<Ask>,
     flight: Option<(u64, Ask)>,
     next_op: u64,
-    gap: Micros,
+    /// Between calls: while not leading, and while leading.
+    gaps: [Micros; 2],
+    leading: bool,
     next_at: Micros,
     /// Machines asked back and not yet proved gone.
     releasing: BTreeSet<String>,
@@ -158,13 +160,20 @@
             queue: VecDeque::new(),
             flight: None,
             next_op: 1,
-            gap: (1e6 * s.size() as f64 / (s.cloud_rps * 0.8)) as Micros,
+            gaps: [0.3 / (s.size() as f64 - 0.99).max(1.0), 0.6]
+                .map(|share| (1e6 / (s.cloud_rps * share)) as Micros),
+            leading: false,
             next_at: 0,
             releasing: BTreeSet::new(),
             failures: 0,
         }
     }
 
+    /// Whether this controller leads: then the better part of the rate is its own.
+    pub fn lead(&mut self, leading: bool) {
+        self.leading = leading;
+    }
+
     /// Whether the interface failed last time.
     pub fn down(&self) -> bool {
         self.failures > 0
@@ -193,21 +202,29 @@
 
     /// Rents; `tenancy` must never have been used by anyone.
     pub fn rent(&mut self, offer: Offer, region: String, count: u32, tenancy: String) {
-        self.queue.push_front(Ask::Rent {
+        let rents = |a: &&Ask| matches!(a, Ask::Rent { .. });
+        let at = self.queue.iter().take_while(rents).count();
+        let ask = Ask::Rent {
             offer,
             region,
             count: count.clamp(1, 50),
             tenancy,
-        });
+        };
+        self.queue.insert(at, ask);
     }
 
-    /// Whether a rental of this offer is under way.
-    pub fn renting(&self) -> Vec<(Offer, u32)> {
+    /// The rentals under way: offer, region, how many.
+    pub fn renting(&self) -> Vec<(Offer, String, u32)> {
         self.queue
             .iter()
             .chain(self.flight.as_ref().map(|(_, a)| a))
             .filter_map(|a| match a {
-                Ask::Rent { offer, count, .. } => Some((offer.clone(), *count)),
+                Ask::Rent {
+                    offer,
+                    count,
+                    region,
+                    ..
+                } => Some((offer.clone(), region.clone(), *count)),
                 _ => None,
             })
             .collect()
@@ -242,7 +259,7 @@
         };
         let op = self.next_op;
         self.next_op += 1;
-        self.next_at = now + self.gap;
+        self.next_at = now + self.gaps[usize::from(self.leading)];
         let body = |v: serde_json::Value| rmp_serde::to_vec(&v).unwrap_or_default();
         let (method, target, body) = match &ask {
             Ask::Flavors => ("GET", "/flavors".to_owned(), Vec::new()),
@@ -299,6 +316,8 @@
             Ok(r) if r.status == 503 && no_capacity(&r.body) => {
                 if let Ask::Rent { offer, .. } = ask {
                     self.failures = 0;
+                    self.queue
+                        .retain(|a| !matches!(a, Ask::Rent { offer: o, .. } if *o == offer));
                     return vec![FleetEvent::NoCapacity(offer)];
                 }
                 None
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -11,8 +11,8 @@
 use crate::fleet::{offers, Fleet, FleetEvent, Listed, Offer, Refusals};
 use crate::mesh::{Message, RegionReport};
 use crate::model::{Flavor, JobSpec, Kind};
-use crate::region::{narrow_type, waiting_spans, NarrowMemory, View, LEAST_AGE};
-use crate::registry::records::{value, JobRecord, Key, MachineRecord, Part};
+use crate::region::{narrow_type, waiting_spans, NarrowMemory, View};
+use crate::registry::records::{value, JobRecord, Joint, Key, LotRecord, Part, LOT};
 use crate::registry::replica::Versioned;
 use crate::registry::{Txn, Urgency};
 use crate::units::{to_secs, Micros, MILLI, SECOND};
@@ -20,8 +20,8 @@
 /// What the leader wants done.
 #[derive(Debug)]
 pub enum Effect {
-    /// Commit this; the key names what it is about.
-    Commit(Txn, Urgency, Key),
+    /// Commit this; the keys name what it is about.
+    Commit(Txn, Urgency, Vec<Key>),
     /// Tell a region's owner.
     Tell(Message),
 }
@@ -29,6 +29,17 @@
 /// A region's report and when it came.
 pub type Reports = BTreeMap<String, (RegionReport, Micros)>;
 
+/// Machines rented and not yet in their region's report.
+struct Coming {
+    offer: Offer,
+    region: String,
+    count: usize,
+    names: Vec<String>,
+    since: Micros,
+    /// When their record was made.
+    recorded: Option<Micros>,
+}
+
 /// A term of leading.
 pub struct Leader {
     /// Revision of the leader's record: this term's name.
@@ -36,17 +47,17 @@
     began: Micros,
     counter: u64,
     writing: BTreeSet<Key>,
-    /// Rented machines: region meant for them, and since when.
-    expected: BTreeMap<String, (Offer, String, Micros)>,
+    coming: BTreeMap<String, Coming>,
     refusals: Refusals,
     narrow: NarrowMemory,
     moved: BTreeMap<String, Micros>,
     gone: BTreeMap<String, Micros>,
     odd: BTreeMap<String, Micros>,
+    rooms: Vec<Room>,
     next_plan: Micros,
     next_list: Micros,
+    last_list: Micros,
     next_flavors: Micros,
-    rent_wait: Micros,
     next_close: Micros,
     /// Processors in use by work that fits many types, smoothed over time.
     usual: f64,
@@ -55,10 +66,9 @@
     out: Vec<Effect>,
 }
 
-/// Room on one machine while planning.
+/// Room on machines that are alike, while planning.
+#[derive(Debug, Clone)]
 struct Room {
-    machine: String,
-    age: Micros,
     region: String,
     flavor: String,
     zone: String,
@@ -67,17 +77,24 @@
     cap: (u64, u64, u64),
     live: bool,
     kept: Option<(u64, u64, u64)>,
+    /// How many; parts of machines are spoken for while planning.
+    machines: f64,
 }
 
 impl Room {
-    /// How many tasks of a job it takes now.
-    fn takes(&self, s: &JobSpec, narrow: bool) -> u64 {
+    /// How many tasks of a job one of the machines takes now.
+    fn each(&self, s: &JobSpec, narrow: bool) -> u64 {
         self.takes_in(self.free, s, narrow)
     }
 
-    /// How many it would take with nothing else on it.
+    /// How many tasks of a job they all take now.
+    fn takes(&self, s: &JobSpec, narrow: bool) -> u64 {
+        (self.each(s, narrow) as f64 * self.machines + 1e-6) as u64
+    }
+
+    /// How many they would take with nothing else on them.
     fn at_most(&self, s: &JobSpec, narrow: bool) -> u64 {
-        self.takes_in(self.cap, s, narrow)
+        (self.takes_in(self.cap, s, narrow) as f64 * self.machines + 1e-6) as u64
     }
 
     fn takes_in(&self, mut free: (u64, u64, u64), s: &JobSpec, narrow: bool) -> u64 {
@@ -92,10 +109,23 @@
         s.count_in(free)
     }
 
-    fn take(&mut self, s: &JobSpec, n: u64) {
-        self.free.0 = self.free.0.saturating_sub(s.cpus * n);
-        self.free.1 = self.free.1.saturating_sub(s.gpus * n);
-        self.free.2 = self.free.2.saturating_sub(s.mem * n);
+    /// Speaks for up to `n` tasks' room; returns for how many it was there.
+    fn take(&mut self, s: &JobSpec, narrow: bool, n: u64) -> u64 {
+        let n = n.min(self.takes(s, narrow));
+        let each = self.each(s, narrow);
+        if n > 0 && each > 0 {
+            self.machines = (self.machines - n as f64 / each as f64).max(0.0);
+        }
+        n
+    }
+
+    /// Processors that work of the one or the other kind may use.
+    fn processors(&self, narrow: bool) -> f64 {
+        let cap = match (narrow, self.kept, self.spot) {
+            (false, Some(k), false) => self.cap.0.saturating_sub(k.0),
+            _ => self.cap.0,
+        };
+        cap as f64 * self.machines
     }
 }
 
@@ -108,6 +138,17 @@
     narrow: Option<String>,
 }
 
+impl Wait {
+    fn whole(&self) -> bool {
+        keeps_together(&self.spec)
+    }
+}
+
+/// Whether a job's tasks stay in one region as long as one can hold them.
+fn keeps_together(s: &JobSpec) -> bool {
+    s.kind == Kind::Gang || s.one_zone || s.spread
+}
+
 impl Leader {
     /// A term that begins with the leader's record at this revision.
     pub fn new(mark: u64, v: &View<'_>) -> Self {
@@ -116,16 +157,17 @@
             began: v.now,
             counter: 0,
             writing: BTreeSet::new(),
-            expected: BTreeMap::new(),
+            coming: BTreeMap::new(),
             refusals: Refusals::default(),
             narrow: NarrowMemory::default(),
             moved: BTreeMap::new(),
             gone: BTreeMap::new(),
             odd: BTreeMap::new(),
+            rooms: Vec::new(),
             next_plan: 0,
             next_list: v.now + 20 * SECOND,
+            last_list: 0,
             next_flavors: 0,
-            rent_wait: 0,
             next_close: v.now + 5 * SECOND,
             usual: 0.0,
             job_size: 0.0,
@@ -137,16 +179,33 @@
         l
     }
 
-    fn commit(&mut self, key: Key, mark: u64, val: Option<serde_json::Value>, urgency: Urgency) {
-        if !self.writing.insert(key.clone()) {
-            return;
+    /// Queues changes of records that are not being written, as few transactions
+    /// as their size allows; each names our own record and the ones it changes.
+    fn commit(
+        &mut self,
+        changes: Vec<(Key, u64, serde_json::Value)>,
+        urgency: Urgency,
+        v: &View<'_>,
+    ) {
+        let fresh: Vec<_> = changes
+            .into_iter()
+            .filter(|(k, ..)| !self.writing.contains(k))
+            .collect();
+        for chunk in fresh.chunks(v.settings.txn_ops.min(8)) {
+            let mut when = vec![(Key::Leader, self.mark)];
+            when.extend(chunk.iter().map(|(k, m, _)| (k.clone(), *m)));
+            let keys: Vec<Key> = chunk.iter().map(|(k, ..)| k.clone()).collect();
+            self.writing.extend(keys.iter().cloned());
+            let txn = Txn {
+                when,
+                apply: chunk
+                    .iter()
+                    .map(|(k, _, val)| (k.clone(), Some(val.clone())))
+                    .collect(),
+                lease: None,
+            };
+            self.out.push(Effect::Commit(txn, urgency, keys));
         }
-        let txn = Txn {
-            when: vec![(Key::Leader, self.mark), (key.clone(), mark)],
-            apply: vec![(key.clone(), val)],
-            lease: None,
-        };
-        self.out.push(Effect::Commit(txn, urgency, key));
     }
 
     /// Whether the cloud has refused something lately.
@@ -155,8 +214,19 @@
     }
 
     /// A commit of ours ended, one way or the other.
-    pub fn concluded(&mut self, key: &Key) {
-        self.writing.remove(key);
+    pub fn concluded(&mut self, keys: &[Key], done: bool, now: Micros) {
+        for key in keys {
+            self.writing.remove(key);
+            if let Key::Lot(l) = key {
+                if done {
+                    if let Some(c) = self.coming.get_mut(l) {
+                        c.recorded = Some(now);
+                    }
+                } else {
+                    self.coming.remove(l);
+                }
+            }
+        }
     }
 
     /// What is to be done since the last call.
@@ -167,87 +237,124 @@
     /// A machine's record went away.
     pub fn machine_gone(&mut self, name: &str, now: Micros) {
         self.gone.insert(name.to_owned(), now);
-        self.expected.remove(name);
-        self.gone.retain(|_, at| now < *at + 120 * SECOND);
     }
 
+    // --- Binding -------------------------------------------------------------
+
     /// Binds every job that is not bound yet.
     pub fn bind(&mut self, v: &View<'_>) {
-        let unbound: Vec<String> = v
+        if v.replica.unbound.is_empty() {
+            return;
+        }
+        let mut unbound: Vec<_> = v
             .replica
-            .open_jobs()
-            .filter(|(id, r, _)| {
-                r.parts.is_empty() && !self.writing.contains(&Key::Job((*id).clone()))
+            .unbound
+            .iter()
+            .filter(|id| !self.writing.contains(&Key::Job((*id).clone())))
+            .filter_map(|id| {
+                let r = v.replica.jobs.get(id)?;
+                Some((r.value.open()?.clone(), id, r))
             })
-            .map(|(id, _, _)| id.clone())
             .collect();
         if unbound.is_empty() {
             return;
         }
-        let mut level_one = self.level_one(v);
-        let mut sorted: Vec<_> = unbound
-            .iter()
-            .filter_map(|id| {
-                let r = v.replica.jobs.get(id)?;
-                Some((r.value.open()?.submitted, id, r))
+        unbound.sort_by_key(|(s, id, _)| (s.submitted, (*id).clone()));
+        let mut level_one: BTreeMap<String, u32> = v
+            .settings
+            .regions()
+            .into_iter()
+            .map(|r| {
+                let n = v.replica.level_one.get(&r).copied().unwrap_or(0);
+                (r, n)
             })
             .collect();
-        sorted.sort_by_key(|(at, id, _)| (*at, (*id).clone()));
-        let mut todo = Vec::new();
-        for (_, id, rec) in sorted {
-            let Some(spec) = rec.value.open() else {
-                continue;
-            };
-            self.narrow.note(spec, v.replica, v.now);
-            let Some(region) = self.choose_region(spec, &level_one, v) else {
-                continue;
-            };
-            *level_one.entry(region.clone()).or_default() += 1;
-            if narrow_type(spec, v.replica).is_none() {
+        let mut changes = Vec::new();
+        for (spec, id, rec) in unbound {
+            self.narrow.note(&spec, v.replica, v.now);
+            let narrow = narrow_type(&spec, v.replica);
+            if narrow.is_none() {
                 let size = spec.cpus as f64 * spec.tasks as f64;
                 self.job_size += (size - self.job_size) * 0.1;
             }
-            let bound = JobRecord {
-                parts: vec![Part(0, spec.tasks, region.clone())],
-                ..rec.value.clone()
+            let bound = match self.joint(&spec, narrow.is_some(), v) {
+                Some((parts, joint)) => {
+                    log::info!("leader: {id}: too large for a region, over several: {parts:?}");
+                    JobRecord {
+                        parts,
+                        joint: Some(joint),
+                        ..rec.value.clone()
+                    }
+                }
+                None => {
+                    let region = self.choose_region(&spec, narrow.as_deref(), &level_one, v);
+                    let Some(region) = region else { continue };
+                    *level_one.entry(region.clone()).or_default() += 1;
+                    log::debug!("leader: {id}: bound to {region}");
+                    JobRecord {
+                        parts: vec![Part(0, spec.tasks, region)],
+                        joint: None,
+                        ..rec.value.clone()
+                    }
+                }
             };
-            log::debug!("leader: {id}: bound to {region}");
-            todo.push((id.clone(), rec.mark, bound));
-        }
-        for (id, mark, bound) in todo {
-            self.commit(Key::Job(id), mark, Some(value(&bound)), Urgency::First);
+            changes.push((Key::Job(id.clone()), rec.mark, value(&bound)));
         }
+        self.commit(changes, Urgency::First, v);
     }
 
-    /// The level-one list: unfinished jobs of each region. A new leader rebuilds
-    /// it from the records.
-    fn level_one(&self, v: &View<'_>) -> BTreeMap<String, u32> {
-        let mut counts: BTreeMap<String, u32> =
-            v.settings.regions().into_iter().map(|r| (r, 0)).collect();
-        for (_, r, _) in v.replica.open_jobs() {
-            let mut seen: Vec<&str> = Vec::new();
-            for Part(_, _, region) in &r.parts {
-                if !seen.contains(&region.as_str()) {
-                    seen.push(region);
-                    *counts.entry(region.clone()).or_default() += 1;
-                }
-            }
+    /// How many tasks of a job a region's machines take, in the zone where they
+    /// take the most if they must be together.
+    fn in_region(&self, s: &JobSpec, region: &str, of: impl Fn(&Room) -> u64) -> u64 {
+        let mut by_zone: BTreeMap<&str, u64> = BTreeMap::new();
+        for r in self.rooms.iter().filter(|r| r.region == region) {
+            *by_zone.entry(&r.zone).or_default() += of(r);
+        }
+        if s.one_zone {
+            by_zone.into_values().max().unwrap_or(0)
+        } else if s.spread {
+            let half = s.tasks.div_ceil(2) as u64;
+            by_zone.into_values().map(|n| n.min(half)).sum()
+        } else {
+            by_zone.into_values().sum()
         }
-        counts
     }
 
     fn choose_region(
-        &self,
+        &mut self,
         s: &JobSpec,
+        narrow: Option<&str>,
         level_one: &BTreeMap<String, u32>,
         v: &View<'_>,
     ) -> Option<String> {
-        let mut able: BTreeSet<&str> = BTreeSet::new();
-        for m in v.replica.machines.values() {
-            let m = &m.value;
-            if let Some(f) = v.replica.flavors.get(&m.flavor) {
-                if s.allows(&f.value, &m.zone, m.spot) {
-                    able.insert(&m.region);
+        let is_narrow = narrow.is_some();
+        let need = if keeps_together(s) { s.tasks as u64 } else { 1 };
+        let mut now = BTreeSet::new();
+        let mut able = BTreeSet::new();
+        for r in level_one.keys() {
+            if self.in_region(s, r, |x| if x.live { x.takes(s, is_narrow) } else { 0 }) >= need {
+                now.insert(r.clone());
+            }
+            let stock = v.replica.stock.get(r).is_some_and(|kinds| {
+                kinds.keys().any(|(f, z, spot)| {
+                    v.replica
+                        .flavors
+                        .get(f)
+                        .is_some_and(|f| s.allows(&f.value, z, *spot))
+                })
+            });
+            if stock {
+                able.insert(r.clone());
+            }
+        }
+        if keeps_together(s) {
+            // Where the cloud would bring what it needs.
+            for o in offers(&v.replica.flavors) {
+                let f = v.replica.flavors.get(&o.flavor).map(|f| &f.value);
+                if f.is_some_and(|f| s.allows(f, &o.zone, o.spot))
+                    && !self.refusals.closed(&o, v.now)
+                {
+                    able.insert(self.home_for(&o, v));
                 }
             }
         }
@@ -259,83 +366,311 @@
                 .min_by_key(|(_, n)| **n)
                 .map(|(r, _)| r.clone())
         };
-        best(&|r| owned(r) && able.contains(r.as_str()))
+        let region = if keeps_together(s) {
+            best(&|r| owned(r) && now.contains(r))
+                .or_else(|| best(&|r| owned(r) && able.contains(r)))
+        } else {
+            best(&|r| owned(r) && able.contains(r))
+        };
+        let region = region
             .or_else(|| best(&|r| owned(r)))
-            .or_else(|| best(&|_| true))
+            .or_else(|| best(&|_| true))?;
+        if keeps_together(s) {
+            let mut left = s.tasks as u64;
+            for r in self
+                .rooms
+                .iter_mut()
+                .filter(|r| r.region == region && r.live)
+            {
+                left -= r.take(s, is_narrow, left);
+            }
+        }
+        Some(region)
     }
 
-    /// A machine that has no record reports, or is listed.
-    pub fn deal(&mut self, name: &str, offer: &Offer, v: &View<'_>) {
-        let key = Key::Machine(name.to_owned());
-        if v.replica.machines.contains_key(name)
-            || self.writing.contains(&key)
-            || self.gone.contains_key(name)
-        {
-            return;
+    /// The parts of a gang that no region can hold, if several together can and
+    /// the cloud has no more: tasks by region, and what they have in common.
+    fn joint(&mut self, s: &JobSpec, narrow: bool, v: &View<'_>) -> Option<(Vec<Part>, Joint)> {
+        if s.kind != Kind::Gang || s.tasks < 2 || v.now < self.began + 2 * SECOND {
+            return None;
         }
-        let region = match self.expected.get(name) {
-            Some((_, r, _)) => r.clone(),
-            None => {
-                // Dealt out by type first, then by number.
-                let mut counts: BTreeMap<String, (u32, u32)> = v
-                    .settings
-                    .regions()
-                    .into_iter()
-                    .map(|r| (r, (0, 0)))
-                    .collect();
-                let pending = self.expected.values().map(|(o, r, _)| (&o.flavor, r));
-                for (f, r) in v
-                    .replica
-                    .machines
-                    .values()
-                    .map(|m| (&m.value.flavor, &m.value.region))
-                    .chain(pending)
-                {
-                    let c = counts.entry(r.clone()).or_default();
-                    c.1 += 1;
-                    c.0 += u32::from(*f == offer.flavor);
+        let regions = v.settings.regions();
+        let n = s.tasks as u64;
+        let most = |r: &Room| r.at_most(s, narrow);
+        if regions.iter().any(|r| self.in_region(s, r, most) >= n) {
+            return None;
+        }
+        let for_rent = offers(&v.replica.flavors).into_iter().any(|o| {
+            let f = v.replica.flavors.get(&o.flavor).map(|f| &f.value);
+            f.is_some_and(|f| s.allows(f, &o.zone, o.spot)) && !self.refusals.closed(&o, v.now)
+        });
+        if for_rent {
+            return None;
+        }
+        let mut by_zone: BTreeMap<&str, BTreeMap<&str, u64>> = BTreeMap::new();
+        for r in &self.rooms {
+            let m = most(r);
+            if m > 0 && v.replica.regions.contains_key(&r.region) {
+                let zone = by_zone.entry(&r.zone).or_default();
+                *zone.entry(&r.region).or_default() += m;
+            }
+        }
+        let half = s.tasks.div_ceil(2) as u64;
+        let mut share: BTreeMap<&str, u64> = BTreeMap::new();
+        let mut zone = None;
+        if s.one_zone {
+            let (z, rs) = by_zone
+                .iter()
+                .max_by_key(|(_, rs)| rs.values().sum::<u64>())?;
+            zone = Some((*z).to_owned());
+            share.extend(rs);
+        } else {
+            // Of each zone no more than its half, if it must be spread; the regions
+            // see to that among their own machines.
+            for rs in by_zone.values() {
+                let mut left = if s.spread { half } else { n };
+                for (r, m) in rs {
+                    let take = left.min(*m);
+                    left -= take;
+                    *share.entry(r).or_default() += take;
                 }
-                match counts.into_iter().min_by_key(|(_, c)| *c) {
-                    Some((r, _)) => {
-                        self.expected
-                            .insert(name.to_owned(), (offer.clone(), r.clone(), v.now));
-                        r
-                    }
-                    None => return,
+            }
+        }
+        // As few regions as will do.
+        let mut share: Vec<(u64, &str)> = share.into_iter().map(|(r, m)| (m, r)).collect();
+        share.sort_unstable_by(|a, b| b.cmp(a));
+        let mut parts = Vec::new();
+        let mut at = 0u32;
+        for (m, r) in share {
+            let take = (m.min(n - at as u64)) as u32;
+            if take > 0 {
+                parts.push(Part(at, at + take, r.to_owned()));
+                at += take;
+            }
+        }
+        if at < s.tasks || parts.len() > 12 || (s.spread && parts.len() > 1) {
+            // A spread gang over several regions would need one bound per zone over
+            // all of them: it waits for a region that can hold it.
+            return None;
+        }
+        Some((parts, Joint(self.next_attempt(), zone)))
+    }
+
+    /// An attempt that no owner and no other term ever uses.
+    fn next_attempt(&mut self) -> u64 {
+        self.counter += 1;
+        (1 << 62) | (self.mark << 20) | (self.counter & 0xf_ffff)
+    }
+
+    /// Gangs over several regions: started once all parts have room, given another
+    /// attempt when one failed, bound anew when a part was given back. All of it
+    /// follows from the records and the regions' last reports, so that a new leader
+    /// goes on where the last one ended.
+    fn lead_joint(&mut self, v: &View<'_>, reports: &Reports) {
+        let mut changes = Vec::new();
+        for id in &v.replica.joint {
+            let Some(rec) = v.replica.jobs.get(id) else {
+                continue;
+            };
+            let Some(Joint(attempt, zone)) = &rec.value.joint else {
+                continue;
+            };
+            let parts = &rec.value.parts;
+            let given_up = parts.iter().any(|p| p.2.is_empty());
+            let (mut ready, mut idle, mut stuck, mut long) = (true, true, false, 0);
+            for Part(a, b, region) in parts {
+                let Some((r, _)) = reports.get(region) else {
+                    (ready, idle) = (false, false);
+                    continue;
+                };
+                let has_room = r.ready.iter().any(|(j, n)| j == id && n == attempt);
+                let wait = r.waits.iter().find(|w| w.job == *id);
+                let waits = wait.is_some_and(|w| w.waiting == b - a);
+                ready &= has_room;
+                idle &= has_room || waits;
+                stuck |= wait.is_some_and(|w| w.stuck);
+                long = long.max(wait.map_or(0, |w| w.since_us));
+                if waits && (given_up || w_too_long(wait.map_or(0, |w| w.since_us))) {
+                    self.out.push(Effect::Tell(Message::Move {
+                        job: id.clone(),
+                        from: region.clone(),
+                        to: String::new(),
+                        count: b - a,
+                    }));
                 }
             }
+            if given_up {
+                continue;
+            }
+            if ready {
+                for Part(_, _, region) in parts {
+                    self.out.push(Effect::Tell(Message::Go {
+                        job: id.clone(),
+                        attempt: *attempt,
+                        region: region.clone(),
+                    }));
+                }
+            } else if idle && stuck {
+                let next = (*attempt, zone.clone());
+                changes.push((id.clone(), rec, next));
+            }
+        }
+        let changes = changes
+            .into_iter()
+            .map(|(id, rec, (_, zone))| {
+                let joint = Some(Joint(self.next_attempt(), zone));
+                log::info!("leader: {id}: tried in vain, another attempt");
+                let new = JobRecord {
+                    joint,
+                    ..rec.value.clone()
+                };
+                (Key::Job(id), rec.mark, value(&new))
+            })
+            .collect();
+        self.commit(changes, Urgency::First, v);
+    }
+
+    // --- Dealing -------------------------------------------------------------
+
+    /// The region that machines of an offer are dealt to. A type that some jobs
+    /// depend on is kept together by zone as far as the largest gang asks; all
+    /// others go where there is least, near home first, so that a zone that is cut
+    /// off still has an owner inside.
+    fn home_for(&self, offer: &Offer, v: &View<'_>) -> String {
+        let regions = v.settings.regions();
+        let flavor = |name: &str| v.replica.flavors.get(name).map(|f| &f.value);
+        let scarce = self.narrow.kept_for(&offer.flavor, v.now).is_some()
+            || flavor(&offer.flavor).is_some_and(|f| {
+                v.replica.flavors.len() > 1
+                    && v.replica.flavors.values().all(|o| {
+                        o.value.name == f.name
+                            || (o.value.cpus < f.cpus
+                                || o.value.mem < f.mem
+                                || o.value.gpus < f.gpus)
+                    })
+            });
+        let mut load: BTreeMap<&str, f64> = regions.iter().map(|r| (r.as_str(), 0.0)).collect();
+        let mut same: BTreeMap<&str, u32> = BTreeMap::new();
+        let mut all = 0;
+        let mut add = |region: &str, kind: (&str, &str, bool), n: u32| {
+            let Some((r, l)) = load.iter_mut().find(|(r, _)| **r == region) else {
+                return;
+            };
+            all += n;
+            if let Some(f) = flavor(kind.0) {
+                let kept = self.narrow.kept_for(kind.0, v.now).filter(|_| !kind.2);
+                let cpus = f.cpus.saturating_sub(kept.map_or(0, |k| k.0));
+                *l += cpus as f64 * n as f64;
+            }
+            if kind.0 == offer.flavor && kind.1 == offer.zone {
+                *same.entry(r).or_default() += n;
+            }
         };
-        log::info!(
-            "leader: {name}: {} in {} dealt to {region}",
-            offer.flavor,
-            offer.zone
-        );
-        let rec = MachineRecord {
-            region,
-            flavor: offer.flavor.clone(),
-            zone: offer.zone.clone(),
-            spot: offer.spot,
-            opened: false,
+        for (region, kinds) in &v.replica.stock {
+            for ((f, z, spot), n) in kinds {
+                add(region, (f, z, *spot), *n);
+            }
+        }
+        for c in self.coming.values().filter(|c| c.recorded.is_none()) {
+            let o = &c.offer;
+            add(&c.region, (&o.flavor, &o.zone, o.spot), c.count as u32);
+        }
+        if scarce {
+            let most = (4 * self.narrow.largest(&offer.flavor))
+                .max(all / regions.len() as u32)
+                .max(8);
+            let together = same
+                .iter()
+                .filter(|(r, n)| **n < most && v.replica.regions.contains_key(**r))
+                .max_by_key(|(_, n)| **n);
+            if let Some((r, _)) = together {
+                return (*r).to_owned();
+            }
+        }
+        let zone_of = |r: &str| {
+            if r == v.settings.name {
+                return v.settings.zone.as_str();
+            }
+            let peer = v.settings.peers.iter().find(|p| p.name == r);
+            peer.map_or("", |p| p.zone.as_str())
         };
-        self.commit(key, 0, Some(value(&rec)), Urgency::First);
+        let least = |near: bool| {
+            load.iter()
+                .filter(|(r, _)| !near || zone_of(r) == offer.zone)
+                .min_by(|a, b| a.1.total_cmp(b.1))
+                .map(|(r, l)| ((*r).to_owned(), *l))
+        };
+        let mean = load.values().sum::<f64>() / load.len().max(1) as f64;
+        let lot = flavor(&offer.flavor).map_or(0.0, |f| f.cpus as f64) * 10.0;
+        match (least(true), least(false)) {
+            (Some((r, l)), _) if scarce || l <= mean * 1.25 + lot => r,
+            (_, Some((r, _))) => r,
+            _ => v.settings.name.clone(),
+        }
+    }
+
+    /// Gives machines of one offer a record, in lots.
+    fn deal(&mut self, offer: &Offer, names: &[String], region: &str, v: &View<'_>) {
+        let mut changes = Vec::new();
+        for (i, chunk) in names.chunks(LOT).enumerate() {
+            self.counter += 1;
+            let id = format!("{}-{}-{}", v.settings.name, self.mark, self.counter);
+            log::info!(
+                "leader: lot {id}: {} {} in {}{} dealt to {region}, from {}",
+                chunk.len(),
+                offer.flavor,
+                offer.zone,
+                if offer.spot { ", spot" } else { "" },
+                chunk[0]
+            );
+            let rec = LotRecord {
+                region: region.to_owned(),
+                flavor: offer.flavor.clone(),
+                zone: offer.zone.clone(),
+                spot: offer.spot,
+                machines: chunk.to_vec(),
+            };
+            self.coming.insert(
+                id.clone(),
+                Coming {
+                    offer: offer.clone(),
+                    region: region.to_owned(),
+                    count: chunk.len(),
+                    names: chunk.to_vec(),
+                    since: v.now + i as Micros,
+                    recorded: None,
+                },
+            );
+            changes.push((Key::Lot(id), 0, value(&rec)));
+        }
+        self.commit(changes, Urgency::First, v);
+    }
+
+    /// A machine that has no record reports. That alone brings nothing into being:
+    /// it may be a late copy from a machine that is long gone. The cloud's list
+    /// says, and is asked for soon.
+    pub fn stranger(&mut self, v: &View<'_>) {
+        let wait = if v.replica.machines.is_empty() { 1 } else { 4 };
+        self.next_list = self
+            .next_list
+            .min((self.last_list + wait * SECOND).max(v.now));
     }
 
     /// Takes what the cloud answered.
     pub fn on_fleet(&mut self, ev: &FleetEvent, v: &View<'_>) {
         match ev {
             FleetEvent::Flavors(list) => {
-                for f in list {
-                    let known = v.replica.flavors.get(&f.name);
-                    if known.is_none_or(|k| differs(k, f)) {
-                        let mark = known.map_or(0, |k| k.mark);
-                        self.commit(
-                            Key::Flavor(f.name.clone()),
-                            mark,
-                            Some(value(f)),
-                            Urgency::Later,
-                        );
-                    }
-                }
+                let changes = list
+                    .iter()
+                    .filter_map(|f| {
+                        let known = v.replica.flavors.get(&f.name);
+                        known.is_none_or(|k| differs(k, f)).then(|| {
+                            let mark = known.map_or(0, |k| k.mark);
+                            (Key::Flavor(f.name.clone()), mark, value(f))
+                        })
+                    })
+                    .collect();
+                self.commit(changes, Urgency::First, v);
             }
             FleetEvent::Rented(offer, region, names, asked) => {
                 log::info!(
@@ -350,11 +685,7 @@
                 } else {
                     self.refusals.filled(offer);
                 }
-                for n in names {
-                    self.expected
-                        .insert(n.clone(), (offer.clone(), region.clone(), v.now));
-                    self.deal(n, offer, v);
-                }
+                self.deal(offer, names, region, v);
             }
             FleetEvent::NoCapacity(offer) => {
                 log::info!(
@@ -370,24 +701,55 @@
         }
     }
 
-    /// Machines that nobody knows: rented by a request that was carried out
-    /// late. They are dealt like any other and used, or returned when idle.
+    /// Machines that nobody knows: there before us, or rented by a request that was
+    /// carried out late. They are dealt like any other and used, or returned when
+    /// idle.
     fn on_list(&mut self, list: &[Listed], v: &View<'_>) {
+        // Records that can't be read may name them.
+        if !v.replica.unreadable.is_empty() {
+            return;
+        }
+        let keep = (4 * v.settings.list_lag).max(120 * SECOND);
+        self.gone.retain(|_, at| v.now < *at + keep);
+        let cold = v.replica.machines.is_empty() && v.replica.rolls.is_empty();
+        let pending: BTreeSet<&String> = self.coming.values().flat_map(|c| &c.names).collect();
         let mut odd = BTreeMap::new();
+        let mut todo: BTreeMap<Offer, Vec<String>> = BTreeMap::new();
         for m in list {
-            if m.failed || v.replica.machines.contains_key(&m.name) {
+            if m.failed
+                || v.replica.machines.contains_key(&m.name)
+                || pending.contains(&m.name)
+                || self.gone.contains_key(&m.name)
+            {
                 continue;
             }
             let since = self.odd.get(&m.name).copied().unwrap_or(v.now);
             odd.insert(m.name.clone(), since);
-            // The list is late: only what stays odd is odd.
-            if v.now > since + 2 * v.settings.list_lag && m.age > 2 * v.settings.list_lag {
-                self.deal(&m.name, &m.offer, v);
+            // The list is late: only what stays odd is odd. When there never was a
+            // record of any machine, there is none that could be gone.
+            let sure = v.now > since + 2 * v.settings.list_lag && m.age > 2 * v.settings.list_lag;
+            if sure || cold {
+                todo.entry(m.offer.clone())
+                    .or_default()
+                    .push(m.name.clone());
             }
         }
         self.odd = odd;
+        for (offer, names) in todo {
+            // Some at a time, so that those of a type that nothing depends on are
+            // spread over the regions.
+            for some in names.chunks(8) {
+                let region = self.home_for(&offer, v);
+                self.deal(&offer, some, &region, v);
+            }
+        }
+        if !self.odd.is_empty() {
+            self.next_list = self.next_list.min(v.now + v.settings.list_lag);
+        }
     }
 
+    // --- Planning ------------------------------------------------------------
+
     /// Regular work. Returns when to look again.
     pub fn tick(&mut self, v: &View<'_>, reports: &Reports, fleet: &mut Fleet) -> Micros {
         self.bind(v);
@@ -398,80 +760,96 @@
         }
         if v.now >= self.next_list {
             self.next_list = v.now + 30 * SECOND;
+            self.last_list = v.now;
             fleet.ask_list();
         }
         if v.now >= self.next_plan {
             self.next_plan = v.now + 400 * MILLI;
             self.plan(v, reports, fleet);
         }
-        self.next_plan
+        self.next_plan.min(self.next_list)
     }
 
-    fn rooms(&self, v: &View<'_>, reports: &Reports) -> Vec<Room> {
-        let mut rooms = Vec::new();
-        let mut told: BTreeSet<&str> = BTreeSet::new();
-        let room = |name: &str,
-                    m: &MachineRecord,
-                    free: Option<(u64, u64, u64)>,
-                    live: bool|
-         -> Option<Room> {
-            let f = &v.replica.flavors.get(&m.flavor)?.value;
+    fn look_at_rooms(&mut self, v: &View<'_>, reports: &Reports, fleet: &Fleet) {
+        let narrow = &self.narrow;
+        let room = |region: &str, flavor: &str, zone: &str, spot, free, live, n: f64| {
+            let f = &v.replica.flavors.get(flavor)?.value;
             let cap = (f.cpus, f.gpus, f.mem);
             Some(Room {
-                machine: name.to_owned(),
-                age: 0,
-                region: m.region.clone(),
-                flavor: m.flavor.clone(),
-                zone: m.zone.clone(),
-                spot: m.spot,
-                free: free.unwrap_or(cap),
+                region: region.to_owned(),
+                flavor: flavor.to_owned(),
+                zone: zone.to_owned(),
+                spot,
+                free: if live { free } else { cap },
                 cap,
                 live,
-                kept: self.narrow.kept_for(&m.flavor, v.now),
+                kept: narrow.kept_for(flavor, v.now),
+                machines: n,
             })
         };
+        let mut rooms = Vec::new();
         for (r, _) in reports.values() {
-            for line in &r.rooms {
-                told.insert(&line.machine);
-                if let Some(m) = v.replica.machines.get(&line.machine) {
-                    let r = room(&line.machine, &m.value, Some(line.free), line.live);
-                    rooms.extend(r.map(|r| Room {
-                        age: line.age_us,
-                        ..r
-                    }));
-                }
+            for l in &r.rooms {
+                let n = l.machines as f64;
+                rooms.extend(room(
+                    &r.region, &l.flavor, &l.zone, l.spot, l.free, l.live, n,
+                ));
             }
         }
-        for (name, (o, region, at)) in &self.expected {
-            if told.contains(name.as_str()) || v.now > at + 5 * SECOND {
-                continue;
-            }
-            let rec = MachineRecord {
-                region: region.clone(),
-                flavor: o.flavor.clone(),
-                zone: o.zone.clone(),
-                spot: o.spot,
-                opened: false,
-            };
-            rooms.extend(room(name, &rec, None, false));
+        // What a region's report can't show yet.
+        self.coming.retain(|_, c| {
+            let told = reports
+                .get(&c.region)
+                .is_some_and(|(_, at)| c.recorded.is_some_and(|r| *at > r + 500 * MILLI));
+            !told && v.now < c.since + 30 * SECOND
+        });
+        for c in self.coming.values() {
+            let o = &c.offer;
+            let n = c.count as f64;
+            rooms.extend(room(
+                &c.region,
+                &o.flavor,
+                &o.zone,
+                o.spot,
+                (0, 0, 0),
+                false,
+                n,
+            ));
+        }
+        for (o, region, n) in fleet.renting() {
+            let n = n as f64;
+            rooms.extend(room(
+                &region,
+                &o.flavor,
+                &o.zone,
+                o.spot,
+                (0, 0, 0),
+                false,
+                n,
+            ));
         }
-        rooms
+        self.rooms = rooms;
     }
 
     fn plan(&mut self, v: &View<'_>, reports: &Reports, fleet: &mut Fleet) {
-        self.expected
-            .retain(|_, (_, _, at)| v.now < *at + 60 * SECOND);
         self.moved.retain(|_, at| v.now < *at + 2 * SECOND);
-        let mut rooms = self.rooms(v, reports);
+        self.look_at_rooms(v, reports, fleet);
+        self.lead_joint(v, reports);
         let mut waits: Vec<Wait> = Vec::new();
         for (r, at) in reports.values() {
             if v.now > at + 3 * SECOND {
                 continue;
             }
             for w in &r.waits {
-                let Some(spec) = v.replica.jobs.get(&w.job).and_then(|j| j.value.open()) else {
+                let Some(rec) = v.replica.jobs.get(&w.job) else {
                     continue;
                 };
+                let Some(spec) = rec.value.open() else {
+                    continue;
+                };
+                if rec.value.joint.is_some() {
+                    continue;
+                }
                 self.narrow.note(spec, v.replica, v.now);
                 waits.push(Wait {
                     id: w.job.clone(),
@@ -483,95 +861,40 @@
                 });
             }
         }
-        self.close_surplus(v, &waits, &rooms);
-        self.close_kept(v, &waits, &rooms);
+        self.close_surplus(v, &waits);
+        let mut rooms = std::mem::take(&mut self.rooms);
         self.move_waiting(v, &mut waits, &mut rooms);
         if v.now > self.began + SECOND {
             self.rent(v, &waits, &mut rooms, fleet);
         }
-    }
-
-    fn close(&mut self, r: &Room) {
-        self.out.push(Effect::Tell(Message::Close {
-            region: r.region.clone(),
-            machine: r.machine.clone(),
-        }));
-    }
-
-    /// The same for types that are kept for work that fits on no other: one of
-    /// several goes if the rest will be through with that work in good time.
-    fn close_kept(&mut self, v: &View<'_>, waits: &[Wait], rooms: &[Room]) {
-        if v.now < self.next_close {
-            return;
-        }
-        let mut by_type: BTreeMap<&str, Vec<&Room>> = BTreeMap::new();
-        for r in rooms.iter().filter(|r| !r.spot && r.kept.is_some()) {
-            by_type.entry(&r.flavor).or_default().push(r);
-        }
-        for (flavor, list) in by_type {
-            let Some(size) = list.first().map(|r| r.cap.0 as f64) else {
-                continue;
-            };
-            let mut work = 0.0;
-            let mut soon = Micros::MAX;
-            let mut estimate: Micros = 0;
-            for w in waits.iter().filter(|w| w.narrow.as_deref() == Some(flavor)) {
-                work += w.count as f64 * w.spec.cpus as f64 * w.spec.estimate as f64;
-                soon = soon.min(horizon(&w.spec, v));
-            }
-            for (_, _, s) in v.replica.open_jobs() {
-                if narrow_type(s, v.replica).as_deref() == Some(flavor) {
-                    soon = soon.min(horizon(s, v));
-                    estimate = estimate.max(s.estimate);
-                }
-            }
-            if soon == Micros::MAX {
-                continue; // nothing under way: the idle time decides
-            }
-            // What runs is taken to be half through.
-            let busy: f64 = list.iter().map(|r| (r.cap.0 - r.free.0) as f64).sum();
-            work += busy * estimate as f64 / 2.0;
-            if list.len() < 2 || work / (size * (list.len() - 1) as f64) > soon as f64 / 2.0 {
-                continue;
-            }
-            let emptiest = list
-                .iter()
-                .filter(|r| r.live && r.age > LEAST_AGE)
-                .max_by_key(|r| r.free.0);
-            if let Some(r) = emptiest {
-                log::debug!("leader: {}: not needed for {flavor} work", r.machine);
-                self.next_close = v.now + SECOND;
-                self.close(r);
-                return;
-            }
-        }
+        self.rooms = rooms;
     }
 
     /// Has machines closed that all regions together can do without: of those
-    /// that leave enough, the one on which the most money is spent for nothing.
-    fn close_surplus(&mut self, v: &View<'_>, waits: &[Wait], rooms: &[Room]) {
-        let (mut cap, mut used) = (0u64, 0u64);
+    /// that leave enough, the kind on which the most money is spent for nothing.
+    fn close_surplus(&mut self, v: &View<'_>, waits: &[Wait]) {
+        let (mut cap, mut used, mut machines) = (0.0, 0.0, 0.0);
         let mut best: Option<(f64, &Room)> = None;
         let open = || {
-            rooms
+            self.rooms
                 .iter()
                 .filter(|r| r.live && (r.spot || r.kept.is_none()))
         };
         for r in open() {
-            cap += r.cap.0;
-            used += r.cap.0 - r.free.0;
+            cap += r.cap.0 as f64 * r.machines;
+            used += (r.cap.0 - r.free.0) as f64 * r.machines;
+            machines += r.machines;
         }
-        self.usual += (used as f64 - self.usual) * 0.04;
+        self.usual += (used - self.usual) * 0.04;
         if waits.iter().any(|w| w.narrow.is_none()) || v.now < self.next_close {
             return;
         }
-        let keep =
-            self.usual.max(used as f64) * (1.0 + v.settings.operator.headroom) + self.job_size;
+        let keep = self.usual.max(used) * (1.0 + v.settings.operator.headroom) + self.job_size;
         for r in open() {
             let Some(f) = v.replica.flavors.get(&r.flavor).map(|f| &f.value) else {
                 continue;
             };
-            if r.age < LEAST_AGE || ((cap - r.cap.0) as f64) < keep {
+            if cap - (r.cap.0 as f64) < keep {
                 continue;
             }
             let price = if r.spot { f.spot_price } else { f.price } as f64;
@@ -580,54 +903,73 @@
                 best = Some((vain, r));
             }
         }
-        if let Some((_, r)) = best {
-            self.next_close = v.now + 500 * MILLI;
-            log::debug!(
-                "leader: {}: not needed, {:.0} of {:.0} processors in use",
-                r.machine,
-                crate::units::plain(used),
-                crate::units::plain(cap)
-            );
-            self.close(r);
-        }
+        let Some((_, r)) = best else { return };
+        // Some at a time, so that what follows from it is seen before the next.
+        let spare = ((cap - keep) / r.cap.0.max(1) as f64).max(1.0);
+        let count = spare.min(r.machines).min((machines / 40.0).max(1.0)) as u32;
+        self.next_close = v.now + 500 * MILLI;
+        log::debug!(
+            "leader: {count} {} in {} not needed, {:.0} of {:.0} processors in use",
+            r.flavor,
+            r.region,
+            used / 1e6,
+            cap / 1e6
+        );
+        self.out.push(Effect::Tell(Message::Close {
+            region: r.region.clone(),
+            flavor: r.flavor.clone(),
+            zone: r.zone.clone(),
+            spot: r.spot,
+            count,
+        }));
     }
 
     /// Rebinds tasks that have found no room for a short while to the region
     /// with the most free room.
     fn move_waiting(&mut self, v: &View<'_>, waits: &mut [Wait], rooms: &mut [Room]) {
+        // Room at home comes first and is spoken for.
         for w in waits.iter_mut() {
-            let whole = w.spec.kind == Kind::Gang || w.spec.one_zone || w.spec.spread;
-            // Room at home comes first and is spoken for.
-            let mut left = w.count;
+            let (narrow, mut left) = (w.narrow.is_some(), w.count);
             for r in rooms.iter_mut().filter(|r| r.live && r.region == w.region) {
-                let n = r.takes(&w.spec, w.narrow.is_some()).min(left);
-                r.take(&w.spec, n);
-                left -= n;
+                if left == 0 {
+                    break;
+                }
+                left -= r.take(&w.spec, narrow, left);
             }
             w.count = left;
-            if left == 0 || w.since < 700 * MILLI || self.moved.contains_key(&w.id) {
+        }
+        // Each is a change of a record.
+        let mut most = (v.settings.store_writes * 0.4 * 0.2).ceil() as u32;
+        for w in waits.iter_mut() {
+            let narrow = w.narrow.is_some();
+            let whole = w.whole();
+            let patient = w.since < 700 * MILLI || self.moved.contains_key(&w.id);
+            if w.count == 0 || patient || most == 0 || (whole && w.count != w.spec.tasks as u64) {
                 continue;
             }
-            let mut per_region: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
+            let mut per_region: BTreeMap<&str, (BTreeMap<&str, u64>, f64)> = BTreeMap::new();
             for r in rooms.iter().filter(|r| r.live && r.region != w.region) {
-                let n = r.takes(&w.spec, w.narrow.is_some());
+                let n = r.takes(&w.spec, narrow);
                 let e = per_region.entry(&r.region).or_default();
-                e.0 += n;
-                e.1 += r.free.0;
+                *e.0.entry(&r.zone).or_default() += n;
+                e.1 += r.free.0 as f64 * r.machines;
             }
             let need = if whole { w.spec.tasks as u64 } else { 1 };
-            if whole && left != w.spec.tasks as u64 {
-                continue;
-            }
-            let Some((to, (n, _))) = per_region
-                .into_iter()
-                .filter(|(_, (n, _))| *n >= need)
-                .max_by_key(|(_, (_, free))| *free)
-            else {
+            let room = |zones: &BTreeMap<&str, u64>| {
+                if w.spec.one_zone {
+                    zones.values().copied().max().unwrap_or(0)
+                } else {
+                    zones.values().sum()
+                }
+            };
+            let to = per_region
+                .iter()
+                .filter(|(r, (z, _))| room(z) >= need && v.replica.regions.contains_key(**r))
+                .max_by(|a, b| a.1 .1.total_cmp(&b.1 .1));
+            let Some((to, (zones, _))) = to else {
                 continue;
             };
-            let to = to.to_owned();
-            let count = n.min(left);
+            let (to, count) = ((*to).to_owned(), room(zones).min(w.count));
             log::debug!(
                 "leader: {}: {count} waiting tasks from {} to {to}",
                 w.id,
@@ -635,11 +977,10 @@
             );
             let mut todo = count;
             for r in rooms.iter_mut().filter(|r| r.live && r.region == to) {
-                let n = r.takes(&w.spec, w.narrow.is_some()).min(todo);
-                r.take(&w.spec, n);
-                todo -= n;
+                todo -= r.take(&w.spec, narrow, todo);
             }
             w.count -= count;
+            most -= 1;
             self.moved.insert(w.id.clone(), v.now);
             self.out.push(Effect::Tell(Message::Move {
                 job: w.id.clone(),
@@ -654,28 +995,27 @@
     /// enough. Work that the machines at hand, busy ones included, will get
     /// through within the horizon rents nothing.
     fn rent(&mut self, v: &View<'_>, waits: &[Wait], rooms: &mut [Room], fleet: &mut Fleet) {
-        if fleet.down() || v.now < self.rent_wait || !fleet.renting().is_empty() {
+        const AT_ONCE: usize = 8;
+        if fleet.down() {
             return;
         }
-        // Work that waits, by the one type it fits or for all types together.
-        let mut groups: BTreeMap<Option<&str>, Vec<(&Wait, u64)>> = BTreeMap::new();
-        for w in waits {
-            if let Some(lacking) = shut_out(w, rooms) {
-                // However soon the machines at hand are free, they won't do.
-                let all = (0.0, 0.0);
-                let best = self.best_offer(&w.spec, w.narrow.is_some(), f64::MAX, all, SECOND, v);
-                if let Some((offer, per, _)) = best {
-                    let count = lacking.div_ceil(per.max(1)).clamp(1, 50) as u32;
-                    log::info!("leader: {}: no machines at hand hold it", w.id);
-                    self.ask(offer, w.region.clone(), count, v, fleet);
-                    return;
-                }
+        let mut asks = AT_ONCE.saturating_sub(fleet.renting().len());
+        // Jobs that keep together get what each lacks.
+        for w in waits.iter().filter(|w| w.whole() && w.count > 0) {
+            if asks == 0 {
+                return;
             }
+            asks -= usize::from(self.rent_whole(v, w, rooms, fleet));
+        }
+        // Other work, by the one type it fits or for all types together.
+        let mut groups: BTreeMap<Option<&str>, Vec<(&Wait, u64)>> = BTreeMap::new();
+        for w in waits.iter().filter(|w| !w.whole()) {
             let mut left = w.count;
             for r in rooms.iter_mut().filter(|r| !r.live) {
-                let n = r.takes(&w.spec, w.narrow.is_some()).min(left);
-                r.take(&w.spec, n);
-                left -= n;
+                if left == 0 {
+                    break;
+                }
+                left -= r.take(&w.spec, w.narrow.is_some(), left);
             }
             if left > 0 {
                 groups
@@ -698,10 +1038,7 @@
                     None => true,
                 };
                 if of_use {
-                    let cap = match (narrow, r.kept, r.spot) {
-                        (None, Some(k), false) => r.cap.0.saturating_sub(k.0) as f64,
-                        _ => r.cap.0 as f64,
-                    };
+                    let cap = r.processors(narrow.is_some());
                     have += cap;
                     up += if r.live { cap } else { 0.0 };
                 }
@@ -712,25 +1049,158 @@
                 .map(|(w, _)| horizon(&w.spec, v))
                 .min()
                 .unwrap_or(SECOND);
-            let Some((offer, per, lack)) =
-                self.best_offer(&w.spec, narrow.is_some(), work, (have, up), horizon, v)
-            else {
-                continue;
-            };
-            let tasks: u64 = list.iter().map(|(_, n)| *n).sum();
-            let by_work = (lack / (per * w.spec.cpus) as f64).round() as u64;
-            let by_tasks = tasks.div_ceil(per.max(1));
-            let count = by_work.min(by_tasks).clamp(1, 20) as u32;
-            log::info!(
-                "leader: renting {count} {} in {}{}: {tasks} tasks wait, {:.0} processor-seconds",
-                offer.flavor,
-                offer.zone,
-                if offer.spot { ", spot" } else { "" },
-                work / 1e12
-            );
-            self.ask(offer, w.region.clone(), count, v, fleet);
+            let mut tasks: u64 = list.iter().map(|(_, n)| *n).sum();
+            while asks > 0 && tasks > 0 {
+                let Some((offer, per, lack)) = self.best_offer(
+                    &w.spec,
+                    narrow.is_some(),
+                    work,
+                    (have, up),
+                    horizon,
+                    None,
+                    v,
+                ) else {
+                    break;
+                };
+                let Some(f) = v.replica.flavors.get(&offer.flavor).map(|f| &f.value) else {
+                    break;
+                };
+                let by_work = (lack / f.cpus.max(1) as f64).ceil() as u64;
+                let by_tasks = tasks.div_ceil(per.max(1));
+                let count = by_work.min(by_tasks).clamp(1, LOT as u64);
+                log::info!(
+                    "leader: renting {count} {} in {}{}: {tasks} tasks wait, {:.0} processor-seconds",
+                    offer.flavor,
+                    offer.zone,
+                    if offer.spot { ", spot" } else { "" },
+                    work / 1e12
+                );
+                have += (f.cpus * count) as f64;
+                tasks = tasks.saturating_sub(per * count);
+                asks -= 1;
+                let region = self.home_for(&offer, v);
+                self.ask(offer, region, count as u32, v, fleet);
+            }
+        }
+    }
+
+    /// Rents what a job that keeps together lacks, or has it moved to where that
+    /// can be had. Whether anything was asked for.
+    fn rent_whole(
+        &mut self,
+        v: &View<'_>,
+        w: &Wait,
+        rooms: &mut [Room],
+        fleet: &mut Fleet,
+    ) -> bool {
+        let (s, narrow) = (&w.spec, w.narrow.is_some());
+        let need = s.tasks as u64;
+        // What its region has and will have, by zone.
+        let mut zones: BTreeMap<String, u64> = BTreeMap::new();
+        for r in rooms.iter().filter(|r| r.region == w.region) {
+            *zones.entry(r.zone.clone()).or_default() += r.takes(s, narrow);
+        }
+        let all: u64 = zones.values().sum();
+        let any = s.spread || !s.one_zone;
+        let offer_in = |l: &Self, zone: Option<&str>| {
+            l.best_offer(s, narrow, f64::MAX, (0.0, 0.0), SECOND, zone, v)
+        };
+        let (zone, have) = if any {
+            (None, all)
+        } else {
+            // The zone in which it lacks the least, of those where more can be had.
+            let best = zones
+                .iter()
+                .filter(|(z, n)| **n >= need || offer_in(self, Some(z)).is_some())
+                .max_by_key(|(_, n)| **n)
+                .map(|(z, n)| (Some(z.clone()), *n));
+            match best {
+                Some(b) if b.1 > 0 => b,
+                _ => {
+                    // Nothing yet: where its region is home to what comes.
+                    let home = offers(&v.replica.flavors).into_iter().find(|o| {
+                        v.replica
+                            .flavors
+                            .get(&o.flavor)
+                            .is_some_and(|f| s.allows(&f.value, &o.zone, o.spot))
+                            && !self.refusals.closed(o, v.now)
+                            && self.home_for(o, v) == w.region
+                    });
+                    match home {
+                        Some(o) => (Some(o.zone), 0),
+                        None => best.unwrap_or((None, 0)),
+                    }
+                }
+            }
+        };
+        let taken = have.min(need);
+        let mut left = taken;
+        for r in rooms
+            .iter_mut()
+            .filter(|r| r.region == w.region && zone.as_ref().is_none_or(|z| *z == r.zone))
+        {
+            left -= r.take(s, narrow, left);
+        }
+        if have >= need {
+            return false;
+        }
+        let lacking = need - have;
+        match offer_in(self, zone.as_deref()) {
+            Some((offer, per, _)) => {
+                let count = lacking.div_ceil(per.max(1)).clamp(1, LOT as u64) as u32;
+                log::info!(
+                    "leader: {}: {lacking} of its {need} tasks lack machines",
+                    w.id
+                );
+                self.ask(offer, w.region.clone(), count, v, fleet);
+                true
+            }
+            None => {
+                self.move_whole(v, w);
+                false
+            }
+        }
+    }
+
+    /// A job that keeps together waits where nothing more can be had: it goes to a
+    /// region where more can, or, if none can hold it, is bound anew over several.
+    fn move_whole(&mut self, v: &View<'_>, w: &Wait) {
+        let s = &w.spec;
+        let narrow = w.narrow.is_some();
+        if w.since < 5 * SECOND || self.moved.contains_key(&w.id) || w.count != s.tasks as u64 {
             return;
         }
+        let need = s.tasks as u64;
+        let holds = |r: &str| self.in_region(s, r, |x| x.at_most(s, narrow)) >= need;
+        let elsewhere = offers(&v.replica.flavors)
+            .into_iter()
+            .filter(|o| {
+                v.replica
+                    .flavors
+                    .get(&o.flavor)
+                    .is_some_and(|f| s.allows(&f.value, &o.zone, o.spot))
+                    && !self.refusals.closed(o, v.now)
+            })
+            .map(|o| self.home_for(&o, v))
+            .find(|r| *r != w.region && v.replica.regions.contains_key(r));
+        let to = match elsewhere {
+            Some(r) => r,
+            // Its region holds it once others are through.
+            None if holds(&w.region) => return,
+            None => {
+                let other = v.settings.regions().into_iter().find(|r| holds(r));
+                // To nobody: bound anew, over several regions if they hold it.
+                other.unwrap_or_default()
+            }
+        };
+        log::info!("leader: {}: can't be had in {}, to {to:?}", w.id, w.region);
+        self.moved.insert(w.id.clone(), v.now + 20 * SECOND);
+        self.out.push(Effect::Tell(Message::Move {
+            job: w.id.clone(),
+            from: w.region.clone(),
+            to,
+            count: s.tasks,
+        }));
     }
 
     /// Asks the cloud, under a request name that nobody ever used: host, term
@@ -739,13 +1209,13 @@
         self.counter += 1;
         let tenancy = format!("{}-{}-{}", v.settings.name, self.mark, self.counter);
         fleet.rent(offer, region, count, tenancy);
-        self.rent_wait = v.now + 300 * MILLI;
     }
 
     /// The cheapest offer for a job, by price of the processors it would use,
     /// slow boots counted as dearer, and how many processors are lacking of it.
     /// An offer is of use only for work that the machines at hand leave undone
     /// by the time it has booted.
+    #[allow(clippy::too_many_arguments)]
     fn best_offer(
         &self,
         s: &JobSpec,
@@ -753,6 +1223,7 @@
         work: f64,
         (have, up): (f64, f64),
         horizon: Micros,
+        zone: Option<&str>,
         v: &View<'_>,
     ) -> Option<(Offer, u64, f64)> {
         let mut best: Option<(f64, Offer, u64, f64)> = None;
@@ -760,7 +1231,10 @@
             let Some(f) = v.replica.flavors.get(&o.flavor).map(|f| &f.value) else {
                 continue;
             };
-            if !s.allows(f, &o.zone, o.spot) || self.refusals.closed(&o, v.now) {
+            if !s.allows(f, &o.zone, o.spot)
+                || self.refusals.closed(&o, v.now)
+                || zone.is_some_and(|z| z != o.zone)
+            {
                 continue;
             }
             if !narrow && !o.spot && self.narrow.kept_for(&o.flavor, v.now).is_some() {
@@ -784,21 +1258,10 @@
     }
 }
 
-/// How many tasks of a waiting job the machines at hand could never hold, all
-/// else gone: a job whose tasks keep together needs one region that holds them all.
-fn shut_out(w: &Wait, rooms: &[Room]) -> Option<u64> {
-    let whole = w.spec.kind == Kind::Gang || w.spec.one_zone || w.spec.spread;
-    let mut by_region: BTreeMap<&str, u64> = BTreeMap::new();
-    for r in rooms {
-        let n = r.at_most(&w.spec, w.narrow.is_some());
-        *by_region.entry(&r.region).or_default() += n;
-    }
-    let need = if whole { w.spec.tasks as u64 } else { 1 };
-    if by_region.values().any(|n| *n >= need) {
-        return None;
-    }
-    let home = by_region.get(w.region.as_str()).copied().unwrap_or(0);
-    Some(need.max(if whole { 0 } else { w.count.min(8) }) - home)
+/// A part of a gang over several regions has waited so long that it is better
+/// bound anew.
+fn w_too_long(since: Micros) -> bool {
+    since > 60 * SECOND
 }
 
 /// How soon a job's waiting tasks should be under way: half of the time that
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -6,19 +6,23 @@
 
 use rkyv::{Archive, Deserialize, Serialize};
 
-/// A machine's room as its owner sees it; amounts in millionths.
+/// Machines of a region that are alike, as their owner sees them; amounts in
+/// millionths. One line for many: a line a machine would be the greater part of
+/// what controllers send and read when there are thousands.
 #[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq)]
 pub struct RoomLine {
-    /// Machine.
-    pub machine: String,
-    /// Free processors, cards and memory; of a machine not up yet, all of it.
-    pub free: (u64, u64, u64),
-    /// Tasks held.
-    pub tasks: u32,
-    /// Heard from and open to placing.
+    /// Type.
+    pub flavor: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot or ordinary.
+    pub spot: bool,
+    /// Heard from and open to placing; if not, it is expected to come up.
     pub live: bool,
-    /// Since it was dealt.
-    pub age_us: u64,
+    /// Free processors, cards and memory of each, rounded down.
+    pub free: (u64, u64, u64),
+    /// How many.
+    pub machines: u32,
 }
 
 /// A job with tasks that wait in a region.
@@ -30,6 +34,8 @@
     pub waiting: u32,
     /// How long the oldest has waited for room.
     pub since_us: u64,
+    /// Part of a gang over several regions whose attempt was tried in vain.
+    pub stuck: bool,
 }
 
 /// Counts of a job for display.
@@ -50,12 +56,16 @@
     pub token: u64,
     /// Whether all machines are accounted for.
     pub settled: bool,
-    /// Machines.
+    /// Room on machines.
     pub rooms: Vec<RoomLine>,
     /// Waiting work, the most urgent first.
     pub waits: Vec<WaitLine>,
     /// Running tasks by job.
     pub counts: Vec<CountLine>,
+    /// Teams whose limit other regions' shares leave too little of.
+    pub short: Vec<String>,
+    /// Parts of gangs over several regions for which room is held, by attempt.
+    pub ready: Vec<(String, u64)>,
 }
 
 /// A region on the status page.
@@ -140,12 +150,27 @@
         /// How many tasks at most.
         count: u32,
     },
-    /// The leader finds that a machine is not needed.
+    /// The leader finds that some machines of a kind are not needed.
     Close {
         /// Region.
         region: String,
-        /// Machine.
-        machine: String,
+        /// Type.
+        flavor: String,
+        /// Zone.
+        zone: String,
+        /// Spot or ordinary.
+        spot: bool,
+        /// How many at most; the owner picks those that hold the fewest tasks.
+        count: u32,
+    },
+    /// The leader finds that all parts of a gang over several regions have room.
+    Go {
+        /// Job.
+        job: String,
+        /// Attempt.
+        attempt: u64,
+        /// Region that is told.
+        region: String,
     },
     /// The operator's toolbox asks for the status page.
     AskStatus,
@@ -188,21 +213,25 @@
                 token: 9,
                 settled: true,
                 rooms: vec![RoomLine {
-                    machine: "m-1".into(),
-                    free: (1, 2, 3),
-                    tasks: 4,
+                    flavor: "g8".into(),
+                    zone: "a".into(),
+                    spot: false,
                     live: true,
-                    age_us: 7,
+                    free: (1, 2, 3),
+                    machines: 4,
                 }],
                 waits: vec![WaitLine {
                     job: "req-1".into(),
                     waiting: 5,
                     since_us: 6,
+                    stuck: false,
                 }],
                 counts: vec![CountLine {
                     job: "req-1".into(),
                     running: 2,
                 }],
+                short: vec!["red".into()],
+                ready: vec![("req-2".into(), 7)],
             }],
         }
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 
-use crate::fleet::{Fleet, FleetEvent, Offer};
+use crate::fleet::{Fleet, FleetEvent};
 use crate::http::{Request, Response};
 use crate::intake::{self, Limiter, Refusal};
 use crate::leader::{self, Leader, Reports};
@@ -61,7 +61,7 @@
         region: String,
     },
     Lead,
-    Leader(Key),
+    Leader(Vec<Key>),
 }
 
 /// How the taking of a region stands.
@@ -108,7 +108,10 @@
     calls: BTreeMap<CallId, CallFor>,
     peers: BTreeMap<String, Peer>,
     reports: Reports,
+    /// Teams whose limit other regions find used up.
+    short: BTreeSet<String>,
     mesh_next: Micros,
+    mesh_count: u32,
     aims: Aims,
     aims_next: Micros,
     now: Micros,
@@ -123,6 +126,8 @@
 /// How long a region's home must have been well before it gets its region back.
 const HAND_BACK: Micros = 10 * SECOND;
 const MESH_EVERY: Micros = 400 * MILLI;
+/// Every so many times all controllers are told all, not just the leader.
+const ALL_TOLD: u32 = 4;
 /// A user waits 2 s for a poll's answer.
 const POLL_PATIENCE: Micros = 1500 * MILLI;
 /// A user waits 5 s for a submission's or a cancellation's answer.
@@ -135,6 +140,7 @@
             settings: &$s.settings,
             now: $s.now,
             wall: $s.reactor.wall(),
+            short: &$s.short,
         }
     };
 }
@@ -144,7 +150,10 @@
     pub fn open(settings: Settings) -> io::Result<Self> {
         let peers: Vec<_> = settings.peers.iter().map(|p| p.addr).collect();
         let limits = Limits {
-            served: settings.sockets.saturating_sub(64).max(16) * 3 / 4,
+            served: settings
+                .sockets
+                .saturating_sub(16 + 12 + 4 * settings.size())
+                .max(16),
             backlog: 512 * 1024,
         };
         let dests = [(settings.store, 10), (settings.cloud, 2)];
@@ -192,7 +201,9 @@
                 .map(|p| (p.name.clone(), Peer::default()))
                 .collect(),
             reports: Reports::new(),
+            short: BTreeSet::new(),
             mesh_next: 0,
+            mesh_count: 0,
             aims: Aims::new(&settings.objectives, &settings.operator),
             aims_next: 0,
             now: 0,
@@ -308,6 +319,7 @@
             self.on_registry(events);
             until = self.now;
         }
+        self.fleet.lead(self.leader.is_some());
         let (call, next) = self.fleet.pump(self.now);
         until = until.min(next);
         if let Some(c) = call {
@@ -392,20 +404,26 @@
     }
 
     fn on_loaded(&mut self) {
+        self.registry.replica.take_touched();
         let v = view!(self);
         for r in self.regions.values_mut() {
-            let names: Vec<String> = v.replica.machines.keys().cloned().collect();
-            for n in names {
-                r.on_machine(&n, &v);
-            }
-            for id in v.replica.jobs.keys() {
-                r.on_job(id, &v, false);
-            }
+            r.on_loaded(&v);
         }
     }
 
     fn on_changed(&mut self, keys: Vec<Key>) {
+        let machines = self.registry.replica.take_touched();
         let v = view!(self);
+        for name in &machines {
+            for r in self.regions.values_mut() {
+                r.on_machine(name, &v);
+            }
+            if !v.replica.machines.contains_key(name) {
+                if let Some(l) = &mut self.leader {
+                    l.machine_gone(name, v.now);
+                }
+            }
+        }
         for key in keys {
             match &key {
                 Key::Job(id) => {
@@ -413,28 +431,14 @@
                         r.on_job(id, &v, false);
                     }
                 }
-                Key::Machine(name) => {
+                Key::Quota(team) => {
                     for r in self.regions.values_mut() {
-                        r.on_machine(name, &v);
-                    }
-                    if !v.replica.machines.contains_key(name) {
-                        if let Some(l) = &mut self.leader {
-                            l.machine_gone(name, v.now);
-                        }
-                    }
-                }
-                Key::Quota(_) => {
-                    for r in self.regions.values_mut() {
-                        r.dirty = true;
+                        r.on_quota(team);
                     }
                 }
                 Key::Flavor(_) => {
-                    let names: Vec<String> = v.replica.machines.keys().cloned().collect();
                     for r in self.regions.values_mut() {
-                        for n in &names {
-                            r.on_machine(n, &v);
-                        }
-                        r.dirty = true;
+                        r.on_flavors(&v);
                     }
                 }
                 Key::Progress(id, ..) => {
@@ -443,6 +447,7 @@
                     }
                 }
                 Key::Region(_) | Key::Leader | Key::Token => {}
+                Key::Machine(_) | Key::Lot(_) | Key::Roll(..) => {}
             }
         }
     }
@@ -689,9 +694,9 @@
         self.leader = Some(l);
         for e in effects {
             match e {
-                leader::Effect::Commit(txn, urgency, key) => {
+                leader::Effect::Commit(txn, urgency, keys) => {
                     let t = self.registry.commit(txn, urgency, None);
-                    self.tickets.insert(t, Ticket::Leader(key));
+                    self.tickets.insert(t, Ticket::Leader(keys));
                 }
                 leader::Effect::Tell(m) => self.tell_owner(m),
             }
@@ -700,7 +705,10 @@
     }
 
     fn tell_owner(&mut self, m: Message) {
-        let (Message::Move { from, .. } | Message::Close { region: from, .. }) = &m else {
+        let (Message::Move { from, .. }
+        | Message::Close { region: from, .. }
+        | Message::Go { region: from, .. }) = &m
+        else {
             return;
         };
         if self.regions.contains_key(from) {
@@ -724,8 +732,10 @@
 
     // --- Mesh --------------------------------------------------------------
 
+    /// Tells the other controllers how we are: the leader all and often, since it
+    /// plans by it, the others just that we are here, and all of it now and then.
     fn send_state(&mut self) {
-        let regions = if self.authority() {
+        let regions: Vec<mesh::RegionReport> = if self.authority() {
             let v = view!(self);
             self.regions.values().map(|r| r.report(&v)).collect()
         } else {
@@ -736,14 +746,30 @@
         }
         let now = self.now;
         self.reports.retain(|_, (_, at)| now < *at + 6 * SECOND);
-        let m = mesh::encode(&Message::State {
-            from: self.settings.name.clone(),
-            run: self.run,
-            fresh: self.fresh(),
-            regions,
-        });
+        self.short = self
+            .reports
+            .iter()
+            .filter(|(name, _)| !self.regions.contains_key(*name))
+            .flat_map(|(_, (r, _))| r.short.iter().cloned())
+            .collect();
+        self.mesh_count += 1;
+        let all = self.mesh_count.is_multiple_of(ALL_TOLD);
+        let state = |regions: Vec<mesh::RegionReport>| {
+            mesh::encode(&Message::State {
+                from: self.settings.name.clone(),
+                run: self.run,
+                fresh: self.fresh(),
+                regions,
+            })
+        };
+        let leader = self.registry.replica.leader.as_ref();
+        let leader = leader.map(|l| l.value.holder.clone());
+        let brief = state(Vec::new());
+        let full = state(regions);
         for i in 0..self.settings.peers.len() {
-            self.reactor.send(i, &m);
+            let leads = leader.as_deref() == Some(&*self.settings.peers[i].name);
+            self.reactor
+                .send(i, if all || leads { &full } else { &brief });
         }
     }
 
@@ -785,7 +811,8 @@
                 to,
                 count,
             } => {
-                if !self.authority() || !self.settings.regions().contains(&to) {
+                let known = to.is_empty() || self.settings.regions().contains(&to);
+                if !self.authority() || !known {
                     return;
                 }
                 let v = view!(self);
@@ -794,10 +821,26 @@
                 }
             }
             Message::AskStatus | Message::Status(_) => {}
-            Message::Close { region, machine } => {
+            Message::Close {
+                region,
+                flavor,
+                zone,
+                spot,
+                count,
+            } => {
+                let v = view!(self);
+                if let Some(r) = self.regions.get_mut(&region) {
+                    r.close((&flavor, &zone, spot), count, &v);
+                }
+            }
+            Message::Go {
+                job,
+                attempt,
+                region,
+            } => {
                 let v = view!(self);
                 if let Some(r) = self.regions.get_mut(&region) {
-                    r.close(&machine, &v);
+                    r.go(&job, attempt, &v);
                 }
             }
         }
@@ -826,7 +869,15 @@
 
     /// Looks at how the aims are met; the leader tells the operators.
     fn look_at_aims(&mut self) {
-        let guaranteed = quota::within_guarantee(&self.registry.replica, &self.settings);
+        let replica = &self.registry.replica;
+        let last: BTreeMap<&str, (u64, String)> = replica
+            .teams
+            .keys()
+            .filter_map(|t| {
+                let last = quota::last_guaranteed(replica, &self.settings, t)?;
+                Some((t.as_str(), last))
+            })
+            .collect();
         let running: BTreeSet<&str> = self
             .reports
             .values()
@@ -836,7 +887,9 @@
         let open = replica.open_jobs().map(|(id, _, spec)| status::Seen {
             id,
             spec,
-            guaranteed: guaranteed.contains(id),
+            guaranteed: last
+                .get(spec.team.as_str())
+                .is_some_and(|l| (spec.submitted, id) <= (l.0, &l.1)),
             started: running.contains(id.as_str()) || replica.progress.contains_key(id),
         });
         let done = |id: &str| {
@@ -876,12 +929,11 @@
                 owner: rec.map(|r| r.owner.clone()),
                 token: rec.map_or(0, |r| r.token),
                 settled: rep.is_some_and(|r| r.settled),
-                machines: r
-                    .machines
-                    .values()
-                    .filter(|m| m.value.region == name)
-                    .count() as u32,
-                live: rep.map_or(0, |r| r.rooms.iter().filter(|l| l.live).count() as u32),
+                machines: r.stock.get(&name).map_or(0, |kinds| kinds.values().sum()),
+                live: rep.map_or(0, |r| {
+                    let live = r.rooms.iter().filter(|l| l.live);
+                    live.map(|l| l.machines).sum()
+                }),
                 waiting: rep.map_or(0, |r| r.waits.iter().map(|w| w.waiting).sum()),
                 region: name,
             }
@@ -949,15 +1001,10 @@
         let me = self.settings.name.clone();
         let elsewhere = |to: Option<&str>| Response::new(421, workers::elsewhere(to));
         let Some(rec) = self.registry.replica.machines.get(&r.machine) else {
-            // No record yet: the leader deals it.
+            // No record: the leader finds out what it is.
             if let Some(l) = &mut self.leader {
-                let offer = Offer {
-                    flavor: r.flavor.clone(),
-                    zone: r.zone.clone(),
-                    spot: r.spot,
-                };
                 let v = view!(self);
-                l.deal(&r.machine, &offer, &v);
+                l.stranger(&v);
                 return self.reactor.respond(conn, elsewhere(None));
             }
             let to = self
@@ -1014,14 +1061,25 @@
     }
 
     fn in_progress(&self) -> usize {
-        self.waiting.len() + self.users_busy
+        self.users_busy
     }
 
-    /// Whether a request may come in; if not it is refused at once.
+    /// Whether a question can be answered just now; if not it is refused at once.
+    /// Questions and cancellations share one read of the state service, however
+    /// many there are, so the limit on requests in progress is not for them: a job
+    /// whose polls it refused again and again would be forgotten.
+    fn answers(&mut self, conn: ConnId) -> bool {
+        let able = self.registry.loaded() && !self.registry.failing();
+        if !able {
+            self.refuse(conn, 503, 1);
+        }
+        able
+    }
+
+    /// Whether a submission may come in; if not it is refused at once.
     fn admit(&mut self, conn: ConnId) -> bool {
         let n = self.in_progress();
-        if !self.registry.loaded() || self.registry.failing() {
-            self.refuse(conn, 503, 1);
+        if !self.answers(conn) {
             return false;
         }
         if !self.limiter.admits(n) {
@@ -1078,6 +1136,7 @@
             stage: Stage::Open,
             spec: Some(std::rc::Rc::new(spec)),
             parts: Vec::new(),
+            joint: None,
         };
         let txn = Txn {
             when: vec![(key.clone(), 0)],
@@ -1106,7 +1165,7 @@
                 return self.reactor.respond(conn, Response::new(200, body));
             }
         }
-        if !self.admit(conn) {
+        if !self.answers(conn) {
             return;
         }
         let patience = match ask {
@@ -1196,6 +1255,7 @@
             stage: Stage::Cancelled,
             spec: r.value.spec.clone(),
             parts: Vec::new(),
+            joint: None,
         };
         let txn = Txn {
             when: vec![(key.clone(), r.mark)],
@@ -1267,9 +1327,10 @@
                 self.claims.insert(region, looking);
             }
             Some(Ticket::Lead) => self.lead_claim = Some(looking),
-            Some(Ticket::Leader(key)) => {
+            Some(Ticket::Leader(keys)) => {
+                let done = matches!(outcome, Outcome::Done(_));
                 if let Some(l) = &mut self.leader {
-                    l.concluded(&key);
+                    l.concluded(&keys, done, self.now);
                 }
             }
             Some(Ticket::Hand { region }) => {
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -2,8 +2,6 @@
 //! together: each region starts tasks only inside its own share, and the shares
 //! of a team, changed by compare-and-set, never sum to more than its limit.
 
-use std::collections::{BTreeMap, BTreeSet};
-
 use crate::model::Kind;
 use crate::registry::records::QuotaRecord;
 use crate::registry::replica::Replica;
@@ -42,30 +40,25 @@
     Some((q, new))
 }
 
-/// The open jobs that fit into their team's guarantee together with the team's
-/// earlier unfinished ones.
-pub fn within_guarantee(replica: &Replica, settings: &Settings) -> BTreeSet<String> {
-    let mut by_team: BTreeMap<&str, BTreeMap<(u64, &str), Amount>> = BTreeMap::new();
-    for (id, _, s) in replica.open_jobs() {
-        by_team
-            .entry(&s.team)
-            .or_default()
-            .insert((s.submitted, id), s.amount().times(s.tasks as u64));
-    }
-    let mut out = BTreeSet::new();
-    for (team, jobs) in by_team {
-        let Some(t) = settings.team(team) else {
-            continue;
-        };
-        let mut sum = Amount::default();
-        for ((_, id), need) in jobs {
-            sum = sum.plus(need);
-            if sum.within(t.guarantee) {
-                out.insert(id.to_owned());
-            }
+/// The last of a team's open jobs, by time of submission, that fits into its
+/// guarantee together with the team's earlier unfinished ones; `None` if not even
+/// the first does. All up to it are within the guarantee, none after it.
+pub fn last_guaranteed(
+    replica: &Replica,
+    settings: &Settings,
+    team: &str,
+) -> Option<(u64, String)> {
+    let guarantee = settings.team(team)?.guarantee;
+    let mut sum = Amount::default();
+    let mut last = None;
+    for (key, need) in replica.teams.get(team)? {
+        sum = sum.plus(*need);
+        if !sum.within(guarantee) {
+            break;
         }
+        last = Some(key);
     }
-    out
+    last.cloned()
 }
 
 /// Whether a job of this size can ever run inside the team's limit.
--- a/src/region/mod.rs
+++ b/src/region/mod.rs
@@ -5,6 +5,7 @@
 //! reports alone, and a task that may be on a machine stays there until that
 //! machine says otherwise or is provably empty.
 
+mod list;
 mod machines;
 mod placing;
 mod records;
@@ -19,13 +20,17 @@
 use crate::model::{Flavor, JobId, JobSpec, Kind, RangeSet};
 use crate::quota;
 use crate::registry::records::{
-    bitmap, read_bitmap, value, JobRecord, Key, MachineRecord, Part, Stage, CHUNK,
+    bitmap, read_bitmap, value, JobRecord, Joint, Key, MachineRecord, Part, RollRecord, Stage,
+    CHUNK, ROLL,
 };
 use crate::registry::replica::Replica;
 use crate::registry::{Outcome, Txn, Urgency};
 use crate::settings::{Amount, Settings};
 use crate::units::{stretch, to_secs, Micros, MILLI, SECOND};
 use crate::workers::{Command, End, OnMachine, Report, MAX_COMMANDS};
+use list::{fits, GroupKey, List, Listed, Room};
+use machines::Ear;
+use placing::{Hold, OrderKey};
 
 /// Where a task is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,6 +61,10 @@
     team: Rc<str>,
     /// Fits no other type of machine.
     narrow: bool,
+    /// Started under our own token.
+    fresh: bool,
+    /// Of a gang over several regions: not before all parts have room.
+    wait_go: bool,
     /// Must go: with this grace.
     stop: Option<Micros>,
     /// When it was sent, or found.
@@ -64,6 +73,12 @@
     ran_at: Option<Micros>,
 }
 
+impl Held {
+    fn room(&self) -> Room {
+        (self.need.cpus, self.need.gpus, self.mem)
+    }
+}
+
 /// How a machine stands with us.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
@@ -78,13 +93,21 @@
 #[derive(Debug)]
 struct Machine {
     rec: MachineRecord,
-    cap: (u64, u64, u64),
-    used: (u64, u64, u64),
+    group: GroupKey,
+    cap: Room,
+    used: Room,
+    /// Of these, by tasks that fit on other types too.
+    wide: Room,
+    listed: Listed,
     standing: Standing,
     order: (u64, u64),
     /// Our last 200 to it, or the last time a former owner may have sent one.
     last_ok: Micros,
+    /// The last newer report under our token, or when we came to know of it.
     heard_at: Micros,
+    /// Answers to reports that didn't carry our token, since one did.
+    greeted: u32,
+    ear: Ear,
     dealt_at: Micros,
     boot: Micros,
     notice: Option<Micros>,
@@ -95,19 +118,24 @@
     closed: Option<&'static str>,
     releasing: bool,
     gone: bool,
-    opening: bool,
+    /// Should have been up by now.
+    late: bool,
+    /// When it is looked at next.
+    due: Micros,
 }
 
 impl Machine {
-    fn free(&self) -> (u64, u64, u64) {
-        (
-            self.cap.0.saturating_sub(self.used.0),
-            self.cap.1.saturating_sub(self.used.1),
-            self.cap.2.saturating_sub(self.used.2),
-        )
+    fn free(&self) -> Room {
+        list::less(self.cap, self.used)
     }
+
+    /// Whether the level-two list may name it, now or once it is up.
+    fn usable(&self) -> bool {
+        self.closed.is_none() && self.notice.is_none() && !self.gone && self.cap != (0, 0, 0)
+    }
+
     fn open(&self) -> bool {
-        self.standing == Standing::Live && self.closed.is_none() && self.rec.opened
+        self.standing == Standing::Live && self.rec.opened && self.usable()
     }
 }
 
@@ -122,16 +150,26 @@
     done: RangeSet,
     /// Done, but not yet on record.
     pending: RangeSet,
-    out: BTreeMap<u32, String>,
+    out: BTreeMap<u32, Rc<str>>,
     over: bool,
     wait_since: Micros,
     not_before: Micros,
     failures: u32,
-    failed_on: BTreeSet<String>,
+    failed_on: BTreeSet<Rc<str>>,
     writing: bool,
     last_write: Micros,
     breaking: bool,
     narrow_to: Option<String>,
+    /// Its place in the order of waiting jobs.
+    key: Option<OrderKey>,
+    /// Its team's share was too small last time.
+    short: bool,
+    /// Of a gang over several regions: what its parts have in common.
+    joint: Option<Joint>,
+    /// The joint attempt that was started last, and since when room is held for
+    /// one that was not.
+    tried: u64,
+    held_since: Option<Micros>,
 }
 
 impl Job {
@@ -154,8 +192,21 @@
             last_write: 0,
             breaking: false,
             narrow_to,
+            key: None,
+            short: false,
+            joint: None,
+            tried: 0,
+            held_since: None,
         }
     }
+
+    /// All of a gang's tasks here wait, and under a joint attempt that was tried:
+    /// only another attempt lets it start.
+    fn stuck(&self) -> bool {
+        self.joint.as_ref().is_some_and(|j| j.0 == self.tried)
+            && self.out.is_empty()
+            && self.waiting.len() == self.mine.len()
+    }
 }
 
 /// What a commit was for.
@@ -169,10 +220,10 @@
     Share(String),
     /// Tasks given to another region.
     Move(JobId),
-    /// A machine about to get its first task.
-    Open(String),
-    /// A machine that is gone.
-    Forget(String),
+    /// Machines about to get their first tasks.
+    Open(Vec<Rc<str>>),
+    /// Machines that are gone.
+    Forget(Vec<Rc<str>>),
 }
 
 /// What the region wants done.
@@ -207,7 +258,9 @@
     want: Amount,
     /// A smaller share that is being committed binds at once.
     pending: Option<Amount>,
-    surplus_since: Option<Micros>,
+    /// The most that was needed lately, and when that was.
+    peak: Amount,
+    peak_at: Micros,
 }
 
 /// All that a step of the region may look at besides its own state.
@@ -220,6 +273,8 @@
     pub now: Micros,
     /// Time of day.
     pub wall: Micros,
+    /// Teams whose limit other regions find used up.
+    pub short: &'a BTreeSet<String>,
 }
 
 /// An owned region.
@@ -233,19 +288,49 @@
     pub mark: u64,
     settled: bool,
     taken_at: Micros,
-    machines: BTreeMap<String, Machine>,
+    machines: BTreeMap<Rc<str>, Machine>,
+    list: List,
+    /// Opened machines of a former owner that are not accounted for.
+    awaited: BTreeSet<Rc<str>>,
+    /// Machines by when they were last heard, opened ones only.
+    heard: BTreeSet<(Micros, Rc<str>)>,
+    /// Machines by when to look at them next.
+    due: BTreeSet<(Micros, Rc<str>)>,
+    /// Machines whose notice has come.
+    noticed: BTreeSet<Rc<str>>,
+    /// Machines closed as not needed that still hold tasks.
+    surplus: BTreeSet<Rc<str>>,
+    /// Machines to be put on the roll, and those to be taken off the records.
+    to_open: BTreeSet<Rc<str>>,
+    to_forget: BTreeSet<Rc<str>>,
+    rolling: bool,
+    roll_next: Micros,
+    forgetting: bool,
+    forget_next: Micros,
     jobs: BTreeMap<JobId, Job>,
+    /// Jobs with waiting tasks, in the order in which they are served.
+    ready: BTreeMap<OrderKey, JobId>,
+    /// Jobs to be looked at at a time: their order changes, or a delay ends.
+    wake: BTreeSet<(Micros, JobId)>,
+    /// Jobs with results that are not on record.
+    unwritten: BTreeSet<JobId>,
+    hold: Option<Hold>,
     shares: BTreeMap<Rc<str>, Share>,
     seq: u64,
     tickets: BTreeMap<u64, Purpose>,
     conflicts: Vec<(u64, Purpose)>,
-    guaranteed: BTreeSet<String>,
-    guarantee_stale: bool,
+    /// The last job of each team that fits into its guarantee.
+    guaranteed: BTreeMap<String, (u64, String)>,
+    stale_teams: BTreeSet<String>,
     narrow: NarrowMemory,
     out: Vec<Effect>,
-    /// Something changed that may let a task be placed.
-    pub dirty: bool,
+    dirty_jobs: BTreeSet<JobId>,
+    dirty_machines: BTreeSet<Rc<str>>,
+    dirty_teams: BTreeSet<String>,
+    dirty_all: bool,
     next_tick: Micros,
+    next_share: Micros,
+    next_preempt: Micros,
 }
 
 impl Region {
@@ -260,23 +345,47 @@
             settled: false,
             taken_at: v.now,
             machines: BTreeMap::new(),
+            list: List::default(),
+            awaited: BTreeSet::new(),
+            heard: BTreeSet::new(),
+            due: BTreeSet::new(),
+            noticed: BTreeSet::new(),
+            surplus: BTreeSet::new(),
+            to_open: BTreeSet::new(),
+            to_forget: BTreeSet::new(),
+            rolling: false,
+            roll_next: 0,
+            forgetting: false,
+            forget_next: 0,
             jobs: BTreeMap::new(),
+            ready: BTreeMap::new(),
+            wake: BTreeSet::new(),
+            unwritten: BTreeSet::new(),
+            hold: None,
             shares: BTreeMap::new(),
             seq: 0,
             tickets: BTreeMap::new(),
             conflicts: Vec::new(),
-            guaranteed: BTreeSet::new(),
-            guarantee_stale: true,
+            guaranteed: BTreeMap::new(),
+            stale_teams: v.replica.teams.keys().cloned().collect(),
             narrow: NarrowMemory::default(),
             out: Vec::new(),
-            dirty: true,
+            dirty_jobs: BTreeSet::new(),
+            dirty_machines: BTreeSet::new(),
+            dirty_teams: BTreeSet::new(),
+            dirty_all: true,
             next_tick: 0,
+            next_share: 0,
+            next_preempt: 0,
         };
-        for name in v.replica.machines.keys() {
-            r.on_machine(name, v);
+        for (machine, rec) in &v.replica.machines {
+            if rec.value.region == name {
+                r.on_machine(machine, v);
+            }
         }
-        let ids: Vec<&String> = v.replica.jobs.keys().collect();
-        for id in ids {
+        let opened = r.machines.iter().filter(|(_, m)| m.rec.opened);
+        r.awaited = opened.map(|(n, _)| n.clone()).collect();
+        for id in &v.replica.open {
             r.on_job(id, v, true);
         }
         for (team, q) in &v.replica.quotas {
@@ -296,61 +405,17 @@
         self.settled
     }
 
-    /// Enters a machine's record.
-    pub fn on_machine(&mut self, name: &str, v: &View<'_>) {
-        match v.replica.machines.get(name) {
-            Some(rec) if rec.value.region == self.name => {
-                let rec = &rec.value;
-                let f = v.replica.flavors.get(&rec.flavor).map(|f| &f.value);
-                let cap = f.map_or((0, 0, 0), |f| (f.cpus, f.gpus, f.mem));
-                let boot = f.map_or(60 * SECOND, |f| f.boot);
-                let m = self
-                    .machines
-                    .entry(name.to_owned())
-                    .or_insert_with(|| Machine {
-                        rec: rec.clone(),
-                        cap,
-                        used: (0, 0, 0),
-                        standing: Standing::Expected,
-                        order: (0, 0),
-                        last_ok: v.now,
-                        heard_at: v.now,
-                        dealt_at: v.now,
-                        boot,
-                        notice: None,
-                        tasks: BTreeMap::new(),
-                        idle_since: v.now,
-                        errors: 0,
-                        images: BTreeSet::new(),
-                        closed: None,
-                        releasing: false,
-                        gone: false,
-                        opening: false,
-                    });
-                if rec.opened != m.rec.opened {
-                    self.dirty = true;
-                }
-                m.rec = rec.clone();
-                m.cap = cap;
-            }
-            _ => {
-                // Its record goes only once it is proved gone, by us.
-                if self.machines.contains_key(name) {
-                    self.clear_machine(name, v);
-                    self.machines.remove(name);
-                    self.try_settle(v);
-                }
-            }
-        }
-    }
-
     /// Enters a job's record. `taking`: as found when the region was taken, so
     /// its tasks may have been started by a former owner.
     pub fn on_job(&mut self, id: &str, v: &View<'_>, taking: bool) {
-        self.guarantee_stale = true;
         let Some(rec) = v.replica.jobs.get(id).map(|r| &r.value) else {
             return;
         };
+        if let Some(s) = &rec.spec {
+            self.stale_teams.insert(s.team.clone());
+        } else if let Some(j) = self.jobs.get(id) {
+            self.stale_teams.insert(j.spec.team.clone());
+        }
         let mine = rec.tasks_of(&self.name);
         let key = self.jobs.get_key_value(id).map(|(k, _)| k.clone());
         if rec.stage != Stage::Open {
@@ -362,7 +427,9 @@
         let Some(spec) = rec.spec.as_ref() else {
             return;
         };
-        self.narrow.note(spec, v.replica, v.now);
+        if self.narrow.note(spec, v.replica, v.now) {
+            self.keep_clear(v);
+        }
         if key.is_none() && mine.is_empty() {
             return;
         }
@@ -372,11 +439,24 @@
             .jobs
             .entry(id.clone())
             .or_insert_with(|| Job::new(spec, narrow_to, v.now));
+        if job.joint != rec.joint {
+            job.joint = rec.joint.clone();
+            // What was held for another attempt is let go.
+            let assigned = job.held_since.take().is_some();
+            if assigned {
+                self.break_gang(&id, v);
+            }
+            self.dirty_jobs.insert(id.clone());
+        }
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
         let mut fresh = mine.clone();
         fresh.remove_all(&job.mine);
         let mut lost = job.mine.clone();
         lost.remove_all(&mine);
         if fresh.is_empty() && lost.is_empty() {
+            self.after_out(&id);
             return;
         }
         job.mine = mine;
@@ -396,10 +476,9 @@
         job.waiting.remove_all(&lost);
         job.moving.remove_all(&lost);
         job.unsettled.remove_all(&lost);
-        self.dirty = true;
-        if self.jobs[&id].mine.is_empty() && self.jobs[&id].out.is_empty() {
-            self.jobs.remove(&id);
-        }
+        self.dirty_jobs.insert(id.clone());
+        self.rekey(&id, v);
+        self.after_out(&id);
     }
 
     fn end_job(&mut self, id: &JobId, v: &View<'_>) {
@@ -411,7 +490,7 @@
         job.unsettled = RangeSet::default();
         job.moving = RangeSet::default();
         job.pending = RangeSet::default();
-        let out: Vec<(u32, String)> = job.out.iter().map(|(n, m)| (*n, m.clone())).collect();
+        let out: Vec<(u32, Rc<str>)> = job.out.iter().map(|(n, m)| (*n, m.clone())).collect();
         for (n, m) in out {
             let held = self
                 .machines
@@ -422,10 +501,9 @@
                 _ => self.shift(id, n, Place::Done, None, v.now),
             }
         }
-        if self.jobs.get(id).is_some_and(|j| j.out.is_empty()) {
-            self.jobs.remove(id);
-        }
-        self.dirty = true;
+        self.unwritten.remove(id);
+        self.rekey(id, v);
+        self.after_out(id);
     }
 
     /// The only way in which a task changes its place. `at` names machine and
@@ -438,30 +516,44 @@
         job.waiting.take(n);
         job.unsettled.take(n);
         job.moving.take(n);
-        if let Some(m) = was_out.as_ref().and_then(|m| self.machines.get_mut(m)) {
-            if let Some(h) = m.tasks.remove(&(id.clone(), n)) {
-                m.used.0 -= h.need.cpus;
-                m.used.1 -= h.need.gpus;
-                m.used.2 -= h.mem;
+        if let Some(at) = &was_out {
+            let held = self.machines.get_mut(at).and_then(|m| {
+                let h = m.tasks.remove(&(id.clone(), n))?;
+                m.used = list::less(m.used, h.room());
+                if !h.narrow {
+                    m.wide = list::less(m.wide, h.room());
+                }
                 if m.tasks.is_empty() {
                     m.idle_since = now;
                 }
+                Some(h)
+            });
+            if let Some(h) = held {
                 if h.place != Place::Assigned {
                     log::debug!(
-                        "region: {id}/{n}: off {} ({}), {to:?} after {:.1} s, of these {:.1} s before running",
-                        was_out.as_deref().unwrap_or(""),
-                        m.rec.flavor,
+                        "region: {id}/{n}: off {at}, {to:?} after {:.1} s, of these {:.1} s before running",
                         to_secs(now - h.since),
                         to_secs(h.ran_at.unwrap_or(now) - h.since)
                     );
                 }
                 let s = self.shares.entry(h.team.clone()).or_default();
                 s.used = s.used.minus(h.need);
-                if h.attempt >> 24 == self.token {
+                if h.fresh {
                     s.fresh = s.fresh.minus(h.need);
                 }
+                self.dirty_teams.insert(h.team.to_string());
+                self.dirty_machines.insert(at.clone());
+                self.relist(at);
+                let empty = self.machines.get(at).filter(|m| m.tasks.is_empty());
+                if let Some(m) = empty {
+                    let wait = if m.closed.is_some() { 0 } else { m.boot };
+                    self.look_at(at, now + wait);
+                }
             }
         }
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
         match to {
             Place::Waiting => {
                 if job.over || job.done.contains(n) || !job.mine.contains(n) {
@@ -471,6 +563,7 @@
                     job.wait_since = now;
                 }
                 job.waiting.insert(n);
+                self.dirty_jobs.insert(id.clone());
             }
             Place::Unsettled => job.unsettled.insert(n),
             Place::Moving => job.moving.insert(n),
@@ -478,6 +571,7 @@
                 if !job.over && job.mine.contains(n) && !job.done.contains(n) {
                     job.done.insert(n);
                     job.pending.insert(n);
+                    self.unwritten.insert(id.clone());
                 }
             }
             Place::Assigned | Place::Sent | Place::On(_) => {
@@ -485,41 +579,43 @@
                 let Some(m) = self.machines.get_mut(machine) else {
                     return;
                 };
-                let need = job.spec.amount();
-                let team: Rc<str> = Rc::from(job.spec.team.as_str());
-                m.used.0 += need.cpus;
-                m.used.1 += need.gpus;
-                m.used.2 += job.spec.mem;
-                m.images.insert(job.spec.image.clone());
-                let s = self.shares.entry(team.clone()).or_default();
-                s.used = s.used.plus(need);
-                if attempt >> 24 == self.token {
-                    s.fresh = s.fresh.plus(need);
+                let h = Held {
+                    attempt,
+                    place: to,
+                    need: job.spec.amount(),
+                    mem: job.spec.mem,
+                    team: Rc::from(job.spec.team.as_str()),
+                    narrow: job.narrow_to.is_some(),
+                    fresh: to == Place::Assigned,
+                    wait_go: to == Place::Assigned && job.joint.is_some(),
+                    stop: job.over.then_some(0),
+                    since: now,
+                    ran_at: None,
+                };
+                m.used = list::sum(m.used, h.room());
+                if !h.narrow {
+                    m.wide = list::sum(m.wide, h.room());
                 }
-                m.tasks.insert(
-                    (id.clone(), n),
-                    Held {
-                        attempt,
-                        place: to,
-                        need,
-                        mem: job.spec.mem,
-                        team,
-                        narrow: job.narrow_to.is_some(),
-                        stop: job.over.then_some(0),
-                        since: now,
-                        ran_at: None,
-                    },
-                );
-                job.out.insert(n, machine.to_owned());
+                if !m.images.contains(&job.spec.image) {
+                    m.images.insert(job.spec.image.clone());
+                }
+                let s = self.shares.entry(h.team.clone()).or_default();
+                s.used = s.used.plus(h.need);
+                if h.fresh {
+                    s.fresh = s.fresh.plus(h.need);
+                }
+                m.tasks.insert((id.clone(), n), h);
+                job.out.insert(n, Rc::from(machine));
+                self.relist(machine);
             }
         }
-        self.dirty = true;
     }
 
     /// A task on a machine is there no more and isn't done.
     fn lost(&mut self, id: &JobId, n: u32, why: &str, v: &View<'_>) {
         log::debug!("region: {id}/{n}: back to waiting, {why}");
         self.shift(id, n, Place::Waiting, None, v.now);
+        self.rekey(id, v);
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -535,7 +631,12 @@
         if let Some(job) = self.jobs.get_mut(id) {
             if job.out.is_empty() {
                 job.breaking = false;
+                job.held_since = None;
                 if job.over || job.mine.is_empty() {
+                    if let Some(key) = job.key.take() {
+                        self.ready.remove(&key);
+                    }
+                    self.unwritten.remove(id);
                     self.jobs.remove(id);
                 }
             }
@@ -549,7 +650,7 @@
             return;
         };
         job.breaking = true;
-        let out: Vec<(u32, String)> = job.out.iter().map(|(n, m)| (*n, m.clone())).collect();
+        let out: Vec<(u32, Rc<str>)> = job.out.iter().map(|(n, m)| (*n, m.clone())).collect();
         for (n, m) in out {
             let held = self
                 .machines
@@ -566,6 +667,7 @@
                 None => {}
             }
         }
+        self.rekey(id, v);
         self.after_out(id);
     }
 
@@ -575,6 +677,7 @@
             return;
         };
         m.standing = Standing::Empty;
+        m.greeted = 0;
         let held: Vec<(JobId, u32)> = m.tasks.keys().cloned().collect();
         if !held.is_empty() {
             log::info!(
@@ -585,14 +688,17 @@
         for (id, n) in held {
             self.lost(&id, n, "machine gone", v);
         }
+        self.awaited.remove(name);
+        self.relist(name);
     }
 
     /// Takes a report and says what to answer. The caller has checked our
     /// authority and checks it again when the answer is written.
     pub fn on_report(&mut self, r: &Report, v: &View<'_>) -> Verdict {
-        let Some(m) = self.machines.get_mut(&r.machine) else {
+        let Some((name, m)) = self.machines.get_key_value(&*r.machine) else {
             return Verdict::Stranger;
         };
+        let name = name.clone();
         // Guards against reports that were held back, and copies: they are as
         // old as their number says, and what they list may long be untrue.
         if r.order <= m.order {
@@ -605,51 +711,46 @@
         if r.token > self.token {
             return Verdict::Outranked;
         }
-        m.order = r.order;
-        m.heard_at = v.now;
-        m.last_ok = v.now;
-        m.notice = r.notice.map(|n| v.now + n);
-        self.open_machine(&r.machine);
         if r.token < self.token {
-            // Its list may be followed by what a former owner still has on the
-            // way to it; only a report that carries our token is beyond that.
-            return Verdict::Commands(Vec::new());
+            return self.greet(&name, v);
         }
-        let first = self
-            .machines
-            .get_mut(&r.machine)
-            .is_some_and(|m| std::mem::replace(&mut m.standing, Standing::Live) != Standing::Live);
+        let first = m.standing != Standing::Live;
+        let sent = m.tasks.values().any(|h| h.place == Place::Sent);
+        let rose = self.listen(&name, r, v);
         if first {
-            log::info!("region: {}: live in {}", r.machine, self.name);
-            self.dirty = true;
+            log::info!("region: {name}: live in {}", self.name);
+            self.awaited.remove(&name);
+            self.dirty_machines.insert(name.clone());
         }
         let mut commands = Vec::new();
         let mut listed: BTreeSet<(JobId, u32)> = BTreeSet::new();
         for t in &r.tasks {
-            self.on_reported(&r.machine, t, v, &mut listed, &mut commands);
+            self.on_reported(&name, t, v, &mut listed, &mut commands);
         }
-        let missing: Vec<(JobId, u32)> = self.machines[&r.machine]
+        let missing: Vec<(JobId, u32, Place)> = self.machines[&name]
             .tasks
             .iter()
             .filter(|(k, h)| h.place != Place::Assigned && !listed.contains(*k))
-            .map(|(k, _)| k.clone())
+            .map(|(k, h)| (k.0.clone(), k.1, h.place))
             .collect();
-        for (id, n) in missing {
+        let unheeded = missing.iter().any(|(_, _, p)| *p == Place::Sent);
+        let heeded = sent.then_some(!unheeded);
+        for (id, n, _) in missing {
             self.lost(&id, n, "not on its machine", v);
         }
+        self.judge_hearing(&name, rose, heeded, v);
+        self.relist(&name);
         if !self.settled {
             self.try_settle(v);
         }
-        if self.dirty {
-            self.place(v);
-        }
-        self.command(&r.machine, v, &mut commands);
+        self.place(v);
+        self.command(&name, v, &mut commands);
         Verdict::Commands(commands)
     }
 
     fn on_reported(
         &mut self,
-        machine: &str,
+        machine: &Rc<str>,
         t: &crate::workers::ReportedTask,
         v: &View<'_>,
         listed: &mut BTreeSet<(JobId, u32)>,
@@ -723,7 +824,7 @@
             log::info!("region: {}/{}: on {machine}, but not ours", t.job, t.task);
             return false;
         };
-        if job.out.get(&t.task).is_some_and(|m| m != machine) {
+        if job.out.get(&t.task).is_some_and(|m| **m != *machine) {
             log::error!(
                 "region: {}/{}: on {machine} and on {} at once",
                 t.job,
@@ -785,7 +886,7 @@
                 let at = self
                     .jobs
                     .get(&t.job)
-                    .and_then(|j| j.out.get(&n).filter(|m| *m != machine).cloned());
+                    .and_then(|j| j.out.get(&n).filter(|m| ***m != *machine).cloned());
                 let held = at
                     .as_ref()
                     .and_then(|at| self.machines.get_mut(at))
@@ -802,6 +903,7 @@
                     if let Some(j) = self.jobs.get_mut(&t.job) {
                         j.done.insert(n);
                         j.pending.insert(n);
+                        self.unwritten.insert(t.job.clone());
                     }
                     continue;
                 }
@@ -821,7 +923,7 @@
         let wait = match end {
             End::Error => {
                 job.failures += 1;
-                job.failed_on.insert(machine.to_owned());
+                job.failed_on.insert(Rc::from(machine));
                 // A job that fails on machine after machine is at fault itself.
                 if job.failed_on.len() <= 2 {
                     if let Some(m) = self.machines.get_mut(machine) {
@@ -829,6 +931,8 @@
                         if m.errors >= 3 && m.closed.is_none() {
                             log::info!("region: {machine}: closed, its tasks keep failing");
                             m.closed = Some("faulty");
+                            m.due = v.now;
+                            self.due.insert((v.now, Rc::from(machine)));
                         }
                     }
                 }
@@ -842,7 +946,10 @@
             End::Busy => SECOND,
             _ => 0,
         };
-        job.not_before = job.not_before.max(v.now + wait);
+        if wait > 0 {
+            job.not_before = job.not_before.max(v.now + wait);
+            self.wake.insert((job.not_before, t.job.clone()));
+        }
         self.lost(&t.job, t.task, "ended", v);
     }
 
@@ -869,7 +976,7 @@
             if commands.len() >= MAX_COMMANDS {
                 break;
             }
-            if h.place == Place::Assigned && h.stop.is_none() {
+            if h.place == Place::Assigned && h.stop.is_none() && !h.wait_go {
                 h.place = Place::Sent;
                 h.since = v.now;
                 log::debug!(
@@ -881,6 +988,7 @@
         }
         for (id, n) in withdrawn {
             self.shift(&id, n, Place::Waiting, None, v.now);
+            self.rekey(&id, v);
         }
     }
 
@@ -890,12 +998,19 @@
         if self.settled {
             return;
         }
-        let open = self
-            .machines
-            .iter()
-            .find(|(_, m)| m.standing == Standing::Expected && m.rec.opened);
-        if let Some((name, _)) = open {
-            log::debug!("region: {}: still waits for {name}", self.name);
+        if let Some(name) = self.awaited.first() {
+            log::debug!(
+                "region: {}: still waits for {name} and {} more",
+                self.name,
+                self.awaited.len() - 1
+            );
+            return;
+        }
+        // Guards against records of machines that we can't read: what may be on
+        // those is over only when every lease that a former owner gave is.
+        if !v.replica.unreadable.is_empty()
+            && v.now < self.taken_at + stretch(v.settings.lease) + SECOND
+        {
             return;
         }
         self.settle(v);
@@ -911,7 +1026,7 @@
 
     fn settle(&mut self, v: &View<'_>) {
         self.settled = true;
-        self.dirty = true;
+        self.dirty_all = true;
         log::info!(
             "region: {}: settled {:.1} s after taking, {} machines",
             self.name,
@@ -935,6 +1050,7 @@
             if job.spec.kind == Kind::Gang && !job.out.is_empty() && !job.waiting.is_empty() {
                 self.break_gang(&id, v);
             }
+            self.rekey(&id, v);
         }
     }
 
@@ -945,31 +1061,76 @@
             self.settle_conflicts(v);
             self.watch_machines(v);
             self.save_before_notice(v);
-            self.reopen(v);
-            self.share_out(v);
-            let due: Vec<JobId> = self
-                .jobs
-                .iter()
-                .filter(|(_, j)| !j.pending.is_empty() && !j.writing)
-                .map(|(id, _)| id.clone())
-                .collect();
-            for id in due {
-                self.write_progress(&id, v);
+            self.write_machines(v);
+            self.look_again(v);
+            self.preempt(v);
+            if v.now >= self.next_share {
+                self.next_share = v.now + SECOND / 2;
+                self.keep_clear(v);
+                self.watch_hold(v);
+                self.share_out(v);
+                let due: Vec<JobId> = self.unwritten.iter().cloned().collect();
+                for id in due {
+                    self.write_progress(&id, v);
+                }
             }
-            if self
-                .jobs
-                .values()
-                .any(|j| !j.waiting.is_empty() && j.not_before <= v.now)
-            {
-                self.dirty = true;
+            if !self.settled {
+                self.try_settle(v);
             }
         }
-        if self.dirty {
-            self.place(v);
-        }
+        self.place(v);
         self.next_tick
     }
 
+    /// Jobs whose time has come: their place in the order changes, a delay is
+    /// over, or room was held for too long.
+    fn look_again(&mut self, v: &View<'_>) {
+        while let Some((at, id)) = self.wake.first().cloned() {
+            if at > v.now {
+                break;
+            }
+            self.wake.remove(&(at, id.clone()));
+            let late = self.jobs.get(&id).and_then(|j| j.held_since);
+            if late.is_some_and(|s| v.now >= s + v.settings.gang_wait) {
+                // Guards against a gang over several regions of which another
+                // part never gets room: nobody holds places for it for ever.
+                log::info!("region: {id}: room let go, not all parts have it");
+                if let Some(j) = self.jobs.get_mut(&id) {
+                    j.held_since = None;
+                    j.not_before = v.now + 2 * SECOND;
+                    self.wake.insert((j.not_before, id.clone()));
+                }
+                self.break_gang(&id, v);
+            }
+            self.dirty_jobs.insert(id.clone());
+            self.rekey(&id, v);
+        }
+    }
+
+    /// The replica was read anew as a whole.
+    pub fn on_loaded(&mut self, v: &View<'_>) {
+        let mut names: BTreeSet<Rc<str>> = self.machines.keys().cloned().collect();
+        let here = v.replica.machines.iter();
+        names.extend(
+            here.filter(|(_, m)| m.value.region == self.name)
+                .map(|(n, _)| Rc::from(n.as_str())),
+        );
+        for n in names {
+            self.on_machine(&n, v);
+        }
+        let mut ids: BTreeSet<String> = self.jobs.keys().map(|j| j.to_string()).collect();
+        ids.extend(v.replica.open.iter().cloned());
+        for id in ids {
+            self.on_job(&id, v, false);
+        }
+        self.on_flavors(v);
+    }
+
+    /// A team's shares changed.
+    pub fn on_quota(&mut self, team: &str) {
+        self.dirty_teams.insert(team.to_owned());
+    }
+
     /// What is to be done since the last call.
     pub fn take_effects(&mut self) -> Vec<Effect> {
         std::mem::take(&mut self.out)
@@ -982,40 +1143,40 @@
 
     /// The region as told to the other controllers.
     pub fn report(&self, v: &View<'_>) -> RegionReport {
-        let mut waits: Vec<_> = self
-            .jobs
-            .iter()
-            .filter(|(_, j)| !j.waiting.is_empty() && !j.writing && j.not_before <= v.now)
-            .map(|(id, j)| {
-                (
-                    self.order_key(id, &j.spec, v),
-                    WaitLine {
-                        job: id.to_string(),
-                        waiting: j.waiting.len(),
-                        since_us: v.now.saturating_sub(j.wait_since),
-                    },
-                )
+        let waits = self
+            .ready
+            .values()
+            .filter_map(|id| Some((id, self.jobs.get(id)?)))
+            .filter(|(_, j)| !j.writing && j.not_before <= v.now)
+            .take(200)
+            .map(|(id, j)| WaitLine {
+                job: id.to_string(),
+                waiting: j.waiting.len(),
+                since_us: v.now.saturating_sub(j.wait_since),
+                stuck: j.stuck(),
             })
             .collect();
-        waits.sort_by_key(|a| a.0);
+        let mut rooms = Vec::new();
+        for ((flavor, zone, spot), g) in &self.list.groups {
+            let line = |live: bool, free: Room, machines: u32| RoomLine {
+                flavor: flavor.to_string(),
+                zone: zone.to_string(),
+                spot: *spot,
+                live,
+                free,
+                machines,
+            };
+            rooms.extend(g.rooms().map(|(free, n)| line(true, free, n)));
+            if !g.booting.is_empty() {
+                rooms.push(line(false, g.cap, g.booting.len() as u32));
+            }
+        }
         RegionReport {
             region: self.name.clone(),
             token: self.token,
             settled: self.settled,
-            rooms: self
-                .machines
-                .iter()
-                .filter(|(_, m)| m.closed.is_none() && m.notice.is_none())
-                .filter(|(_, m)| m.standing != Standing::Empty)
-                .map(|(name, m)| RoomLine {
-                    machine: name.clone(),
-                    free: m.free(),
-                    tasks: m.tasks.len() as u32,
-                    live: m.open(),
-                    age_us: v.now - m.dealt_at,
-                })
-                .collect(),
-            waits: waits.into_iter().take(200).map(|w| w.1).collect(),
+            rooms,
+            waits,
             counts: self
                 .jobs
                 .iter()
@@ -1026,6 +1187,16 @@
                     running: j.out.len() as u32,
                 })
                 .collect(),
+            short: self
+                .shares
+                .iter()
+                .filter(|(_, s)| s.want != Amount::default())
+                .map(|(t, _)| t.to_string())
+                .collect(),
+            ready: self
+                .ready_parts()
+                .map(|(id, attempt)| (id.to_string(), attempt))
+                .collect(),
         }
     }
 
@@ -1045,6 +1216,7 @@
         replica: Replica,
         settings: Settings,
         rev: u64,
+        short: BTreeSet<String>,
     }
 
     impl Fixture {
@@ -1053,6 +1225,7 @@
                 replica: Replica::default(),
                 settings: Settings::parse("f", &crate::settings::tests::sample()).unwrap(),
                 rev: 0,
+                short: BTreeSet::new(),
             };
             f.put(
                 "st/flavor/box",
@@ -1084,6 +1257,7 @@
                 settings: &self.settings,
                 now,
                 wall: now,
+                short: &self.short,
             }
         }
         fn take(&self, token: u64, now: Micros) -> Region {
@@ -1207,7 +1381,7 @@
         assert_eq!(r.running("req-1"), 2);
         f.job("req-2", "blue", "x", "1", 1, 0);
         r.on_job("req-2", &f.view(3 * SECOND), false);
-        r.place(&f.view(3 * SECOND));
+        r.tick(&f.view(3 * SECOND));
         let asked = r
             .take_effects()
             .into_iter()
--- a/src/region/placing.rs
+++ b/src/region/placing.rs
@@ -1,18 +1,29 @@
 //! The level-two list at work: the order of waiting jobs, and which machine
 //! each task goes to.
 
+use super::list::Group;
 use super::*;
 
+/// The order of waiting jobs, least first; see [`Region::order_key`].
 pub(super) type OrderKey = (
-    bool,
-    std::cmp::Reverse<crate::model::Rank>,
-    usize,
-    bool,
-    bool,
-    u64,
+    (bool, std::cmp::Reverse<crate::model::Rank>, usize),
+    (bool, bool, u64),
     u64,
+    JobId,
 );
 
+/// Places kept for the gang whose turn it is, so that they fill up under steady
+/// small work.
+#[derive(Debug)]
+pub(super) struct Hold {
+    pub job: JobId,
+    /// Only machines of this zone are held, if the gang must be in one.
+    pub zone: Option<Rc<str>>,
+    /// When the last of the places is expected to be free.
+    pub until: Micros,
+    pub looked: Micros,
+}
+
 /// A job whose latest start is nearer than this goes before shorter ones.
 const PRESSING: Micros = 15 * SECOND;
 
@@ -61,27 +72,43 @@
 /// ones on which some recent job fits. Jobs that fit elsewhere may have the rest.
 #[derive(Debug, Default)]
 pub struct NarrowMemory {
-    types: BTreeMap<String, ((u64, u64, u64), Micros)>,
+    types: BTreeMap<String, (Room, Micros, u32)>,
 }
 
 impl NarrowMemory {
-    /// Remembers a job, if it is one that fits on one type only.
-    pub fn note(&mut self, spec: &JobSpec, r: &Replica, now: Micros) {
-        if let Some(f) = narrow_type(spec, r) {
-            let e = self.types.entry(f).or_insert(((0, 0, 0), now));
-            e.0 .0 = e.0 .0.max(spec.cpus);
-            e.0 .1 = e.0 .1.max(spec.gpus);
-            e.0 .2 = e.0 .2.max(spec.mem);
-            e.1 = now;
-        }
+    /// Remembers a job, if it is one that fits on one type only. Returns whether
+    /// something else is to be kept clear now.
+    pub fn note(&mut self, spec: &JobSpec, r: &Replica, now: Micros) -> bool {
+        let Some(f) = narrow_type(spec, r) else {
+            return false;
+        };
+        let gang = if spec.kind == Kind::Gang {
+            spec.tasks
+        } else {
+            1
+        };
+        let new = !self.types.contains_key(&f);
+        let e = self.types.entry(f).or_insert(((0, 0, 0), now, 1));
+        let was = (e.0, now < e.1 + NARROW_MEMORY);
+        e.0 .0 = e.0 .0.max(spec.cpus);
+        e.0 .1 = e.0 .1.max(spec.gpus);
+        e.0 .2 = e.0 .2.max(spec.mem);
+        e.1 = now;
+        e.2 = e.2.max(gang);
+        new || was != (e.0, true)
     }
 
     /// What is kept clear on machines of a type.
-    pub fn kept_for(&self, flavor: &str, now: Micros) -> Option<(u64, u64, u64)> {
+    pub fn kept_for(&self, flavor: &str, now: Micros) -> Option<Room> {
         self.types
             .get(flavor)
-            .filter(|(_, seen)| now < seen + NARROW_MEMORY)
-            .map(|(n, _)| *n)
+            .filter(|(_, seen, _)| now < seen + NARROW_MEMORY)
+            .map(|(n, ..)| *n)
+    }
+
+    /// The largest gang seen that fits on this type only.
+    pub fn largest(&self, flavor: &str) -> u32 {
+        self.types.get(flavor).map_or(0, |t| t.2)
     }
 }
 
@@ -98,23 +125,57 @@
     }
 }
 
-pub(super) fn fits(free: (u64, u64, u64), s: &JobSpec) -> bool {
-    s.cpus <= free.0 && s.gpus <= free.1 && s.mem <= free.2
-}
-
 /// For how many waiting jobs shares are taken ahead of room.
+/// A gang waits so long before places are kept for it.
+const HOLD_AFTER: Micros = 3 * SECOND;
+/// What a task that runs in the meantime takes beside its run time.
+const BACKFILL_SLACK: Micros = 10 * SECOND;
+/// A job within its guarantee waits so long for room before others make it.
+const PREEMPT_AFTER: Micros = 3 * SECOND;
+/// Whatever has waited so long since its submission goes by age from then on.
+const PATIENCE: Micros = 150 * SECOND;
 const AHEAD: usize = 3;
 
 /// How long a type is kept clear for jobs that fit nowhere else, after the last
 /// of them was seen.
 const NARROW_MEMORY: Micros = 180 * SECOND;
 
+/// What a job may not use because of a hold.
+fn held_back(
+    hold: Option<&Hold>,
+    id: &JobId,
+    job: &Job,
+    key: &GroupKey,
+    g: &Group,
+    v: &View<'_>,
+) -> bool {
+    let Some(h) = hold.filter(|h| h.job != *id) else {
+        return false;
+    };
+    if h.zone.as_ref().is_some_and(|z| **z != *key.1) {
+        return false;
+    }
+    // What is kept clear for narrow tasks is out of the others' reach anyway.
+    if g.kept.is_some() && job.narrow_to.is_none() {
+        return false;
+    }
+    // Work that ends in time may run in the meantime.
+    v.now + job.spec.estimate * 3 / 2 + BACKFILL_SLACK > h.until
+}
+
 impl Region {
     /// The order in which waiting jobs are served: those within their team's
-    /// guarantee, then rank, then the operators' precedence. Among equals, those
-    /// that can still meet an aim of their class go before those that can't, the
-    /// pressing ones first, then the short ones: that way the most are in time.
-    pub(super) fn order_key(&self, id: &str, s: &JobSpec, v: &View<'_>) -> OrderKey {
+    /// guarantee, then rank, then the operators' precedence. Among equals, gangs go
+    /// by their age, so that a large one is never passed over for ever; of the
+    /// others, those that can still meet an aim of their class go before those that
+    /// can't, the pressing ones first, then the short ones: that way the most are in
+    /// time. Also returns after what span this changes by itself.
+    pub(super) fn order_key(
+        &self,
+        id: &JobId,
+        s: &JobSpec,
+        v: &View<'_>,
+    ) -> (OrderKey, Option<Micros>) {
         let precedence = v
             .settings
             .operator
@@ -122,156 +183,278 @@
             .iter()
             .position(|c| *c == s.class)
             .unwrap_or(usize::MAX);
+        let guaranteed = self
+            .guaranteed
+            .get(&s.team)
+            .is_some_and(|last| (s.submitted, &**id) <= (last.0, last.1.as_str()));
+        let first = (!guaranteed, std::cmp::Reverse(s.rank), precedence);
+        let aged = s.submitted + PATIENCE;
+        if s.kind == Kind::Gang || v.wall >= aged {
+            return (
+                (first, (false, false, s.submitted), s.submitted, id.clone()),
+                None,
+            );
+        }
         let due = latest_start(s, v);
         let size = s.estimate.saturating_mul(s.tasks.into()) / 1000 * (s.cpus / 1000).max(1);
         let pressing = due.is_some_and(|d| d < v.wall + PRESSING);
-        (
-            !self.guaranteed.contains(id),
-            std::cmp::Reverse(s.rank),
-            precedence,
+        let second = (
             due.is_none(),
             !pressing,
             if pressing { due.unwrap_or(0) } else { size },
-            s.submitted,
-        )
+        );
+        let change = match due {
+            Some(d) if pressing => d,
+            Some(d) => d - PRESSING,
+            None => aged,
+        };
+        let span = change.min(aged).saturating_sub(v.wall) + MILLI;
+        ((first, second, s.submitted, id.clone()), Some(span))
+    }
+
+    /// Enters a job into the order of waiting jobs, or takes it out.
+    pub(super) fn rekey(&mut self, id: &JobId, v: &View<'_>) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let waits = !job.waiting.is_empty() && !job.over;
+        let (key, again) = if waits {
+            let spec = job.spec.clone();
+            let (k, again) = self.order_key(id, &spec, v);
+            (Some(k), again)
+        } else {
+            (None, None)
+        };
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.key != key {
+            if let Some(old) = job.key.take() {
+                self.ready.remove(&old);
+            }
+            job.key.clone_from(&key);
+            if let Some(k) = key {
+                self.ready.insert(k, id.clone());
+                if let Some(span) = again {
+                    self.wake.insert((v.now + span, id.clone()));
+                }
+            }
+        }
+    }
+
+    /// Follows which jobs fit into their teams' guarantees.
+    fn look_at_guarantees(&mut self, v: &View<'_>) {
+        for team in std::mem::take(&mut self.stale_teams) {
+            let last = quota::last_guaranteed(v.replica, v.settings, &team);
+            let was = match &last {
+                Some(l) => self.guaranteed.insert(team.clone(), l.clone()),
+                None => self.guaranteed.remove(&team),
+            };
+            if was != last {
+                let ids: Vec<JobId> = self
+                    .ready
+                    .values()
+                    .filter(|id| self.jobs.get(*id).is_some_and(|j| j.spec.team == team))
+                    .cloned()
+                    .collect();
+                for id in ids {
+                    self.rekey(&id, v);
+                }
+            }
+        }
     }
 
     /// Sends waiting tasks to machines: each to the fitting one that holds the
-    /// fewest tasks.
+    /// fewest tasks. Only jobs for which something changed are looked at: their own
+    /// tasks, a machine's room, or their team's share.
     pub fn place(&mut self, v: &View<'_>) {
-        self.dirty = false;
-        if self.guarantee_stale {
-            self.guaranteed = quota::within_guarantee(v.replica, v.settings);
-            self.guarantee_stale = false;
-        }
-        for s in self.shares.values_mut() {
-            s.want = Amount::default();
+        self.look_at_guarantees(v);
+        let jobs = std::mem::take(&mut self.dirty_jobs);
+        let machines = std::mem::take(&mut self.dirty_machines);
+        let teams = std::mem::take(&mut self.dirty_teams);
+        let all = std::mem::take(&mut self.dirty_all) || machines.len() > 16;
+        if self.ready.is_empty()
+            || (!all && jobs.is_empty() && machines.is_empty() && teams.is_empty())
+        {
+            return;
         }
-        let mut order: Vec<_> = self
-            .jobs
+        let rooms: Vec<(Room, &Machine)> = machines
             .iter()
-            .filter(|(_, j)| !j.waiting.is_empty() && !j.over && j.not_before <= v.now)
-            .map(|(id, j)| (self.order_key(id, &j.spec, v), id.clone()))
+            .filter_map(|n| self.machines.get(n))
+            .filter(|m| matches!(m.listed, Listed::Open { .. }))
+            .map(|m| (m.free(), m))
             .collect();
-        order.sort();
-        let mut ahead = 0;
-        for (_, id) in order {
-            if self.jobs[&id].spec.kind == Kind::Gang {
+        let todo: Vec<JobId> = self
+            .ready
+            .values()
+            .filter(|id| {
+                all || jobs.contains(*id)
+                    || self.jobs.get(*id).is_some_and(|j| {
+                        (j.short && teams.contains(&j.spec.team))
+                            || rooms.iter().any(|(free, m)| {
+                                fits(*free, &j.spec)
+                                    && j.spec.permits(&m.rec.flavor, &m.rec.zone, m.rec.spot)
+                            })
+                    })
+            })
+            .cloned()
+            .collect();
+        let mut short = false;
+        for id in todo {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            if job.not_before > v.now || job.waiting.is_empty() {
+                continue;
+            }
+            job.short = false;
+            if job.spec.kind == Kind::Gang {
                 self.place_gang(&id, v);
             } else {
                 self.place_tasks(&id, v);
             }
-            if ahead < AHEAD && !self.jobs[&id].waiting.is_empty() {
-                ahead += 1;
-                self.prepare(&id);
-            }
+            self.rekey(&id, v);
+            short |= self.jobs.get(&id).is_some_and(|j| j.short);
+        }
+        if !self.surplus.is_empty()
+            && self
+                .ready
+                .values()
+                .take(AHEAD)
+                .filter_map(|id| self.jobs.get(id))
+                .any(|j| j.narrow_to.is_none() && !j.short)
+        {
+            self.reopen();
         }
         // What was found wanting is asked for at once.
-        if self.shares.values().any(|s| s.want != Amount::default()) {
+        if short {
             self.share_out(v);
         }
-        self.dirty = false;
     }
 
-    pub(super) fn best_machine(
+    /// The best machine for a task of the job: the fitting one that holds the
+    /// fewest tasks, in this zone if one is given, in none of the full ones.
+    fn best_machine(
         &self,
-        job: &Job,
+        id: &JobId,
         zone: Option<&str>,
-        extra: &BTreeMap<String, (u64, u64, u64)>,
-        full_zones: &BTreeSet<String>,
+        full: &BTreeSet<String>,
         v: &View<'_>,
-    ) -> Option<String> {
+    ) -> Option<Rc<str>> {
+        let job = self.jobs.get(id)?;
         let s = &job.spec;
-        type Order = (bool, usize, bool, bool);
-        let mut best: Option<(Order, &String)> = None;
-        for (name, m) in &self.machines {
-            if !m.open() || m.notice.is_some() {
-                continue;
-            }
-            let mut free = m.free();
-            if let Some(x) = extra.get(name) {
-                free = (
-                    free.0.saturating_sub(x.0),
-                    free.1.saturating_sub(x.1),
-                    free.2.saturating_sub(x.2),
-                );
-            }
-            if !fits(free, s)
-                || (m.rec.spot && !s.spot)
-                || s.zone.as_ref().is_some_and(|z| *z != m.rec.zone)
-                || zone.is_some_and(|z| z != m.rec.zone)
-                || full_zones.contains(&m.rec.zone)
-                || s.types.as_ref().is_some_and(|t| !t.contains(&m.rec.flavor))
-            {
-                continue;
-            }
-            // Kept clear for jobs that fit on no other type.
-            if job.narrow_to.is_none() && !m.rec.spot {
-                if let Some(n) = self.narrow.kept_for(&m.rec.flavor, v.now) {
-                    let wide = m
-                        .tasks
-                        .values()
-                        .filter(|h| !h.narrow)
-                        .fold((0, 0, 0), |a, h| {
-                            (a.0 + h.need.cpus, a.1 + h.need.gpus, a.2 + h.mem)
-                        });
-                    if wide.0 + s.cpus + n.0 > m.cap.0
-                        || wide.1 + s.gpus + n.1 > m.cap.1
-                        || wide.2 + s.mem + n.2 > m.cap.2
-                    {
-                        continue;
-                    }
-                }
-            }
-            let held = m.tasks.len() + usize::from(extra.contains_key(name));
-            let key = (
-                job.failed_on.contains(name),
-                held,
-                !m.images.contains(&s.image),
-                !m.rec.spot && s.spot,
-            );
-            if best.as_ref().is_none_or(|(k, _)| key < *k) {
-                best = Some((key, name));
-            }
-        }
-        best.map(|(_, n)| n.clone())
+        let wide = job.narrow_to.is_none();
+        self.list.best(
+            s,
+            wide,
+            |k| self.allowed(id, job, k, zone, full, v),
+            |k, held, name| {
+                let m = self.machines.get(name)?;
+                let free = match m.listed {
+                    Listed::Open { wide: w, .. } if wide => w,
+                    Listed::Open { free, .. } => free,
+                    _ => return None,
+                };
+                fits(free, s).then(|| {
+                    (
+                        job.failed_on.contains(name),
+                        held,
+                        !m.images.contains(&s.image),
+                        !k.2 && s.spot,
+                    )
+                })
+            },
+        )
     }
 
-    /// Asks for the share that the next jobs in line will need, before there is
-    /// room for them. Guards against a machine that falls free and then stands
-    /// idle for a report's interval, because the next task on it is of a team
-    /// whose share must first be taken.
-    pub(super) fn prepare(&mut self, id: &JobId) {
-        let job = &self.jobs[id];
-        let spec = &job.spec;
-        // No more than the region's machines could hold: a share kept for tasks
-        // that can't run here is lacking where they can.
-        let most: u64 = self
-            .machines
-            .values()
-            .filter(|m| m.open() && spec.permits(&m.rec.flavor, &m.rec.zone, m.rec.spot))
-            .map(|m| spec.count_in(m.cap))
-            .sum();
-        let n = match spec.kind {
-            Kind::Gang if most < spec.tasks.into() => 0,
-            Kind::Gang => spec.tasks.into(),
-            _ => most.min(job.waiting.len().min(16).into()),
+    /// Whether a job's tasks may go to machines of a group just now.
+    fn allowed(
+        &self,
+        id: &JobId,
+        job: &Job,
+        k: &GroupKey,
+        zone: Option<&str>,
+        full: &BTreeSet<String>,
+        v: &View<'_>,
+    ) -> bool {
+        job.spec.permits(&k.0, &k.1, k.2)
+            && zone.is_none_or(|z| z == &*k.1)
+            && !full.contains(&*k.1)
+            && self
+                .list
+                .groups
+                .get(k)
+                .is_none_or(|g| !held_back(self.hold.as_ref(), id, job, k, g, v))
+    }
+
+    /// How many of a job's tasks there is room for, up to `most`.
+    fn room_for(&self, id: &JobId, zone: Option<&str>, most: u64, v: &View<'_>) -> u64 {
+        let Some(job) = self.jobs.get(id) else {
+            return 0;
         };
-        let need = spec.amount().times(n);
-        let s = self
-            .shares
-            .entry(Rc::from(job.spec.team.as_str()))
-            .or_default();
-        s.want = Amount {
-            cpus: s.want.cpus.max(need.cpus),
-            gpus: s.want.gpus.max(need.gpus),
+        let none = BTreeSet::new();
+        let wide = job.narrow_to.is_none();
+        let free = |n: &str| match self.machines.get(n).map(|m| m.listed) {
+            Some(Listed::Open { wide: w, .. }) if wide => w,
+            Some(Listed::Open { free, .. }) => free,
+            _ => (0, 0, 0),
         };
+        self.list.count(
+            &job.spec,
+            wide,
+            |k| self.allowed(id, job, k, zone, &none, v),
+            free,
+            most,
+        )
+    }
+
+    /// What the next jobs in line need of their teams' limits, those that have no
+    /// room yet included. Guards against a machine that falls free and then stands
+    /// idle for a report's interval, because the next task on it is of a team whose
+    /// share must first be taken. No more than the region's machines could hold: a
+    /// share kept for tasks that can't run here is lacking where they can.
+    pub(super) fn count_wants(&mut self, v: &View<'_>) {
+        const LOOK: usize = 60;
+        for s in self.shares.values_mut() {
+            s.want = Amount::default();
+        }
+        let ids: Vec<JobId> = self.ready.values().take(LOOK).cloned().collect();
+        for (i, id) in ids.iter().enumerate() {
+            let Some(job) = self.jobs.get(id) else {
+                continue;
+            };
+            let spec = job.spec.clone();
+            let waiting = job.waiting.len() as u64;
+            let n = if spec.kind == Kind::Gang {
+                let could = self.list.potential(&spec, job.narrow_to.is_none(), |k| {
+                    spec.permits(&k.0, &k.1, k.2)
+                });
+                if could >= waiting {
+                    waiting
+                } else {
+                    0
+                }
+            } else {
+                let room = self.room_for(id, None, waiting, v);
+                if i < AHEAD {
+                    let could = self.list.potential(&spec, job.narrow_to.is_none(), |k| {
+                        spec.permits(&k.0, &k.1, k.2)
+                    });
+                    room.max(could.min(waiting).min(16))
+                } else {
+                    room
+                }
+            };
+            if n > 0 {
+                let s = self.shares.entry(Rc::from(spec.team.as_str())).or_default();
+                s.want = s.want.plus(spec.amount().times(n));
+            }
+        }
     }
 
-    pub(super) fn place_tasks(&mut self, id: &JobId, v: &View<'_>) {
-        let none = BTreeMap::new();
+    fn place_tasks(&mut self, id: &JobId, v: &View<'_>) {
         loop {
-            let job = &self.jobs[id];
+            let Some(job) = self.jobs.get(id) else { return };
             let Some(n) = job.waiting.first() else { return };
             let spec = job.spec.clone();
             // Where the job's other tasks are at this moment binds the next.
@@ -301,23 +484,13 @@
             } else {
                 BTreeSet::new()
             };
-            let Some(name) = self.best_machine(job, zone.as_deref(), &none, &full, v) else {
+            let Some(name) = self.best_machine(id, zone.as_deref(), &full, v) else {
                 return;
             };
-            let need = spec.amount();
-            if !need.within(self.headroom(&spec.team, v)) {
-                let waiting = job.waiting.len() as u64;
-                let room: u64 = self
-                    .machines
-                    .values()
-                    .filter(|m| m.open())
-                    .map(|m| {
-                        let f = m.free();
-                        f.0.checked_div(spec.cpus).unwrap_or(waiting)
-                    })
-                    .sum();
-                let s = self.shares.entry(Rc::from(spec.team.as_str())).or_default();
-                s.want = s.want.plus(need.times(waiting.min(room.max(1))));
+            if !spec.amount().within(self.headroom(&spec.team, v)) {
+                if let Some(j) = self.jobs.get_mut(id) {
+                    j.short = true;
+                }
                 return;
             }
             let attempt = self.next_attempt();
@@ -330,54 +503,319 @@
         (self.token << 24) | (self.seq & 0xff_ffff)
     }
 
-    pub(super) fn place_gang(&mut self, id: &JobId, v: &View<'_>) {
-        let job = &self.jobs[id];
+    /// The zones in which a gang could be, or just `None` if it may be anywhere.
+    fn zones_for(&self, job: &Job) -> Vec<Option<Rc<str>>> {
+        if let Some(Joint(_, Some(z))) = &job.joint {
+            return vec![Some(Rc::from(z.as_str()))];
+        }
+        if !job.spec.one_zone {
+            return vec![None];
+        }
+        let zones: BTreeSet<Rc<str>> = self.list.groups.keys().map(|k| k.1.clone()).collect();
+        zones.into_iter().map(Some).collect()
+    }
+
+    fn place_gang(&mut self, id: &JobId, v: &View<'_>) {
+        let Some(job) = self.jobs.get(id) else { return };
         let spec = job.spec.clone();
-        if job.breaking || !job.out.is_empty() || job.waiting.len() != spec.tasks {
+        // Of a gang over several regions, only this region's part is placed here.
+        let n = job.mine.len();
+        let whole = n == spec.tasks || job.joint.is_some();
+        if job.breaking || !job.out.is_empty() || job.waiting.len() != n || !whole || job.stuck() {
             return;
         }
-        let need = spec.amount().times(spec.tasks as u64);
-        let zones: Vec<Option<String>> = if spec.one_zone {
-            let z: BTreeSet<String> = self.machines.values().map(|m| m.rec.zone.clone()).collect();
-            z.into_iter().map(Some).collect()
-        } else {
-            vec![None]
-        };
+        let need = spec.amount().times(n as u64);
         let half = spec.tasks.div_ceil(2);
-        for zone in zones {
-            let mut extra: BTreeMap<String, (u64, u64, u64)> = BTreeMap::new();
+        let tasks: Vec<u32> = job.waiting.numbers().collect();
+        let (since, joint) = (job.wait_since, job.joint.clone());
+        for zone in self.zones_for(job) {
+            if self.room_for(id, zone.as_deref(), n as u64, v) < n as u64 {
+                continue;
+            }
+            if !need.within(self.headroom(&spec.team, v)) {
+                if let Some(j) = self.jobs.get_mut(id) {
+                    j.short = true;
+                }
+                return;
+            }
+            let attempt = match &joint {
+                Some(j) => j.0,
+                None => self.next_attempt(),
+            };
             let mut per_zone: BTreeMap<String, u32> = BTreeMap::new();
             let mut full = BTreeSet::new();
-            let mut picks = Vec::new();
-            for n in job.waiting.numbers() {
-                let Some(name) = self.best_machine(job, zone.as_deref(), &extra, &full, v) else {
+            let mut placed = 0;
+            for t in &tasks {
+                let Some(name) = self.best_machine(id, zone.as_deref(), &full, v) else {
                     break;
                 };
-                let e = extra.entry(name.clone()).or_default();
-                *e = (e.0 + spec.cpus, e.1 + spec.gpus, e.2 + spec.mem);
                 if spec.spread {
-                    let z = self.machines[&name].rec.zone.clone();
-                    let c = per_zone.entry(z.clone()).or_default();
-                    *c += 1;
-                    if *c >= half {
-                        full.insert(z);
+                    if let Some(m) = self.machines.get(&name) {
+                        let c = per_zone.entry(m.rec.zone.clone()).or_default();
+                        *c += 1;
+                        if *c >= half {
+                            full.insert(m.rec.zone.clone());
+                        }
                     }
                 }
-                picks.push((n, name));
+                self.shift(id, *t, Place::Assigned, Some((&name, attempt)), v.now);
+                placed += 1;
             }
-            if picks.len() as u32 != spec.tasks {
+            if placed < tasks.len() {
+                for t in &tasks[..placed] {
+                    self.shift(id, *t, Place::Waiting, None, v.now);
+                }
+                self.dirty_jobs.remove(id);
+                if let Some(j) = self.jobs.get_mut(id) {
+                    j.wait_since = since;
+                }
                 continue;
             }
-            if !need.within(self.headroom(&spec.team, v)) {
-                let s = self.shares.entry(Rc::from(spec.team.as_str())).or_default();
-                s.want = s.want.plus(need);
-                return;
+            if self.hold.as_ref().is_some_and(|h| h.job == *id) {
+                self.hold = None;
+                self.dirty_all = true;
             }
-            let attempt = self.next_attempt();
-            for (n, name) in picks {
-                self.shift(id, n, Place::Assigned, Some((&name, attempt)), v.now);
+            if joint.is_some() {
+                log::info!("region: {id}: room held for our part, attempt {attempt}");
+                if let Some(j) = self.jobs.get_mut(id) {
+                    j.held_since = Some(v.now);
+                }
+                self.wake.insert((v.now + v.settings.gang_wait, id.clone()));
+            }
+            return;
+        }
+        self.hold_for(id, v);
+    }
+
+    /// Parts of gangs over several regions for which room is held here.
+    pub(super) fn ready_parts(&self) -> impl Iterator<Item = (&JobId, u64)> {
+        self.jobs.iter().filter_map(|(id, j)| {
+            let joint = j.joint.as_ref()?;
+            j.held_since.map(|_| (id, joint.0))
+        })
+    }
+
+    /// All parts of a gang over several regions have room: start ours.
+    pub fn go(&mut self, id: &str, attempt: u64, v: &View<'_>) {
+        let Some((id, job)) = self.jobs.get_key_value(id) else {
+            return;
+        };
+        let id = id.clone();
+        let held = job.held_since.is_some() && job.joint.as_ref().is_some_and(|j| j.0 == attempt);
+        if !held || job.over {
+            return;
+        }
+        log::info!("region: {id}: all parts have room, attempt {attempt} starts");
+        let out: Vec<(u32, Rc<str>)> = job.out.iter().map(|(n, m)| (*n, m.clone())).collect();
+        if let Some(j) = self.jobs.get_mut(&id) {
+            j.held_since = None;
+            j.tried = attempt;
+        }
+        for (n, name) in out {
+            let held = self
+                .machines
+                .get_mut(&name)
+                .and_then(|m| m.tasks.get_mut(&(id.clone(), n)));
+            if let Some(h) = held {
+                h.wait_go = false;
+                h.since = v.now;
+            }
+        }
+    }
+
+    /// A gang finds no room: if it is the first in line to wait, the places that
+    /// fall free are kept for it.
+    fn hold_for(&mut self, id: &JobId, v: &View<'_>) {
+        if self.hold.is_some() {
+            return;
+        }
+        let Some(job) = self.jobs.get(id) else { return };
+        if v.now < job.wait_since + HOLD_AFTER {
+            self.wake.insert((job.wait_since + HOLD_AFTER, id.clone()));
+            return;
+        }
+        let n = job.mine.len() as u64;
+        let wide = job.narrow_to.is_none();
+        let best = self
+            .zones_for(job)
+            .into_iter()
+            .map(|zone| {
+                let could = self.list.potential(&job.spec, wide, |k| {
+                    job.spec.permits(&k.0, &k.1, k.2) && zone.as_ref().is_none_or(|z| *z == k.1)
+                });
+                let room = self.room_for(id, zone.as_deref(), n, v);
+                (could >= n, room, zone)
+            })
+            .max();
+        let Some((true, room, zone)) = best else {
+            return;
+        };
+        log::info!("region: {id}: places are kept for it, {room} of {n} free");
+        self.hold = Some(Hold {
+            job: id.clone(),
+            zone,
+            until: 0,
+            looked: 0,
+        });
+        self.watch_hold(v);
+    }
+
+    /// Looks whether places must still be held, and until when they will fill.
+    pub(super) fn watch_hold(&mut self, v: &View<'_>) {
+        let Some(h) = &self.hold else { return };
+        let stays = self
+            .jobs
+            .get(&h.job)
+            .filter(|j| !j.over && j.key.is_some() && !j.stuck() && !j.writing);
+        let Some(job) = stays else {
+            self.hold = None;
+            self.dirty_all = true;
+            return;
+        };
+        if v.now < h.looked + 2 * SECOND {
+            return;
+        }
+        let n = job.mine.len() as u64;
+        // When each machine will have been left by all that is on it now.
+        let mut free_at: Vec<(Micros, u64)> = Vec::new();
+        for (k, g) in &self.list.groups {
+            if !job.spec.permits(&k.0, &k.1, k.2) || h.zone.as_ref().is_some_and(|z| *z != k.1) {
+                continue;
+            }
+            let each = job.spec.count_in(g.cap);
+            for m in g.names().filter_map(|n| self.machines.get(n)) {
+                let ends = m
+                    .tasks
+                    .iter()
+                    .filter(|(_, t)| t.narrow || g.kept.is_none())
+                    .filter_map(|((id, _), t)| {
+                        let est = self.jobs.get(id)?.spec.estimate;
+                        Some(t.ran_at.unwrap_or(v.now) + est)
+                    })
+                    .max();
+                free_at.push((ends.unwrap_or(0).max(v.now), each));
             }
+        }
+        free_at.sort_unstable();
+        let mut have = 0;
+        let until = free_at.iter().find_map(|(at, each)| {
+            have += each;
+            (have >= n).then_some(*at)
+        });
+        if let Some(h) = &mut self.hold {
+            h.until = until.unwrap_or(0);
+            h.looked = v.now;
+        }
+        self.dirty_all = true;
+    }
+
+    /// Stops work so that a job within its team's guarantee, or of higher rank,
+    /// finds room: of lower rank, or of other teams beyond their own guarantees.
+    /// Only for the first such job in line, only after it has waited for a while,
+    /// and only as much as it needs; what has run for the shortest time goes first.
+    pub(super) fn preempt(&mut self, v: &View<'_>) {
+        const LOOK: usize = 8;
+        if v.now < self.next_preempt || !self.settled {
             return;
         }
+        let ids: Vec<JobId> = self.ready.values().take(LOOK).cloned().collect();
+        for id in ids {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            let guaranteed = job.key.as_ref().is_some_and(|k| !k.0 .0);
+            let wait = v.now.saturating_sub(job.wait_since);
+            if job.short || job.not_before > v.now || wait < PREEMPT_AFTER || job.writing {
+                continue;
+            }
+            self.next_preempt = v.now + SECOND;
+            if self.make_room(&id, guaranteed, v) {
+                return;
+            }
+        }
+    }
+
+    fn make_room(&mut self, id: &JobId, guaranteed: bool, v: &View<'_>) -> bool {
+        const MOST: u64 = 16;
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        let spec = job.spec.clone();
+        let gang = spec.kind == Kind::Gang;
+        let wide = job.narrow_to.is_none();
+        let rank = spec.rank;
+        let n = if gang {
+            job.mine.len() as u64
+        } else {
+            (job.waiting.len() as u64).min(MOST)
+        };
+        let may_stop = |other: &JobId, r: &Region| {
+            r.jobs.get(other).is_some_and(|o| {
+                let beyond = r
+                    .guaranteed
+                    .get(&o.spec.team)
+                    .is_none_or(|last| (o.spec.submitted, &**other) > (last.0, last.1.as_str()));
+                !o.over
+                    && o.spec.kind != Kind::Service
+                    && (o.spec.rank < rank || (guaranteed && beyond && o.spec.team != spec.team))
+            })
+        };
+        for zone in self.zones_for(job) {
+            // Machines on which stopping would make room, the cheapest first.
+            let mut found: Vec<(Micros, u64, Rc<str>, Vec<JobId>)> = Vec::new();
+            let mut have = 0;
+            for (k, g) in &self.list.groups {
+                if !spec.permits(&k.0, &k.1, k.2) || zone.as_ref().is_some_and(|z| *z != k.1) {
+                    continue;
+                }
+                if wide && g.kept.is_some() {
+                    continue;
+                }
+                for (name, m) in g.names().filter_map(|n| Some((n, self.machines.get(n)?))) {
+                    let now = spec.count_in(m.free());
+                    if m.tasks.values().any(|h| h.stop.is_some()) {
+                        // Room is being made here already.
+                        have += spec.count_in(m.cap).max(now);
+                        continue;
+                    }
+                    have += now;
+                    let mut room = m.free();
+                    let mut cost = 0;
+                    let mut stops = Vec::new();
+                    for ((other, _), h) in &m.tasks {
+                        if may_stop(other, self) {
+                            room = list::sum(room, h.room());
+                            cost += v.now.saturating_sub(h.ran_at.unwrap_or(v.now));
+                            stops.push(other.clone());
+                        }
+                    }
+                    let gain = spec.count_in(room).saturating_sub(now);
+                    if let Some(each) = cost.checked_div(gain) {
+                        found.push((each, gain, name.clone(), stops));
+                    }
+                }
+            }
+            let could: u64 = found.iter().map(|f| f.1).sum();
+            if have >= n || (gang && have + could < n) || could == 0 {
+                continue;
+            }
+            found.sort_by_key(|a| a.0);
+            let mut victims: BTreeMap<JobId, BTreeSet<Rc<str>>> = BTreeMap::new();
+            for (_, gain, name, stops) in found {
+                if have >= n {
+                    break;
+                }
+                have += gain;
+                for other in stops {
+                    victims.entry(other).or_default().insert(name.clone());
+                }
+            }
+            for (other, on) in victims {
+                log::info!("region: {other}: makes room for {id}");
+                self.stop_saving(&other, "makes room", |name, _| on.contains(name));
+            }
+            return true;
+        }
+        false
     }
 }
--- a/src/region/records.rs
+++ b/src/region/records.rs
@@ -3,6 +3,9 @@
 
 use super::*;
 
+/// How long the most that a team needed is remembered.
+const PEAK_KEPT: Micros = 15 * SECOND;
+
 impl Region {
     /// Notes under which ticket a commit went out.
     pub fn sent(&mut self, ticket: u64, purpose: Purpose) {
@@ -44,6 +47,9 @@
                     j.writing = false;
                     if done {
                         j.pending.remove_all(&set);
+                        if j.pending.is_empty() {
+                            self.unwritten.remove(&id);
+                        }
                     }
                     self.write_progress(&id, v);
                 }
@@ -60,7 +66,7 @@
                 if let Some(s) = self.shares.get_mut(team.as_str()) {
                     s.pending = None;
                 }
-                self.dirty = true;
+                self.dirty_teams.insert(team);
             }
             Purpose::Move(id) => {
                 if let Some(j) = self.jobs.get_mut(&id) {
@@ -70,18 +76,24 @@
                         j.waiting.add_all(&back);
                     }
                 }
-                self.dirty = true;
+                self.dirty_jobs.insert(id.clone());
+                self.rekey(&id, v);
                 self.after_out(&id);
             }
-            Purpose::Open(name) => {
-                if let Some(m) = self.machines.get_mut(&name) {
-                    m.opening = false;
+            Purpose::Open(names) => {
+                self.rolling = false;
+                if done {
+                    for n in names {
+                        self.to_open.remove(&n);
+                    }
                 }
-                self.dirty = true;
             }
-            Purpose::Forget(name) => {
-                if let Some(m) = self.machines.get_mut(&name) {
-                    m.releasing = false;
+            Purpose::Forget(names) => {
+                self.forgetting = false;
+                if done {
+                    for n in names {
+                        self.to_forget.remove(&n);
+                    }
                 }
             }
         }
@@ -111,6 +123,7 @@
                     stage: Stage::Done,
                     spec: None,
                     parts: Vec::new(),
+                    joint: None,
                 })),
             )];
             if let Some(chunks) = v.replica.progress.get(&**id) {
@@ -133,7 +146,17 @@
             ));
             return;
         }
-        if job.pending.is_empty() || v.now < job.last_write + SECOND {
+        // A result that is lost costs little: the task, started again, ends as soon
+        // as it has its image. So results go on record as seldom as the state
+        // service's rate asks for; but at once where another region waits for
+        // them, since it can't see our share of the job otherwise.
+        let here = job.mine.len() < job.spec.tasks && job.done.len() >= job.mine.len();
+        let gap = (self.unwritten.len() * v.settings.size()) as f64
+            / (v.settings.store_writes * 0.15)
+            * 1e6;
+        let gap = (gap as Micros).max(3 * SECOND);
+        let job_age = v.now.saturating_sub(job.last_write);
+        if job.pending.is_empty() || (!here && job_age < gap) || job_age < SECOND {
             return;
         }
         job.last_write = v.now;
@@ -218,7 +241,12 @@
     }
 
     /// Takes what waiting tasks need of teams' limits, gives back what is spare.
+    /// Shares go up by more than is needed just now and down only after a while,
+    /// or when other regions find the limit used up: each change counts against
+    /// the state service's rate.
     pub(super) fn share_out(&mut self, v: &View<'_>) {
+        self.count_wants(v);
+        let (regions, settled) = (v.settings.size() as u64, self.settled);
         let teams: Vec<Rc<str>> = self.shares.keys().cloned().collect();
         for team in teams {
             let Some(limit) = v.settings.team(&team).map(|t| t.limit) else {
@@ -226,32 +254,43 @@
             };
             let rec = v.replica.quotas.get(&*team);
             let have = quota::share(rec.map(|r| &r.value), &self.name);
-            let settled = self.settled;
             let Some(s) = self.shares.get_mut(&team) else {
                 continue;
             };
-            if s.pending.is_some() {
-                continue;
-            }
             let used = if settled {
                 s.used
             } else {
                 s.inherited.plus(s.fresh)
             };
             let target = used.plus(s.want);
-            let up = target.cpus > have.cpus || target.gpus > have.gpus;
-            if !up {
-                let spare = target != have;
-                let since = *s.surplus_since.get_or_insert(v.now);
-                if !spare || !settled {
-                    s.surplus_since = None;
-                    continue;
-                }
-                if v.now < since + 2 * SECOND {
-                    continue;
-                }
+            if !target.within(s.peak) || v.now > s.peak_at + PEAK_KEPT {
+                s.peak = target;
+                s.peak_at = v.now;
+            }
+            if s.pending.is_some() {
+                continue;
             }
-            s.surplus_since = None;
+            let spare = |part: u64| Amount {
+                cpus: limit.cpus / part / regions,
+                gpus: limit.gpus / part / regions,
+            };
+            let target = if !target.within(have) {
+                // At the least what is needed, and somewhat more.
+                let more = target.plus(spare(8));
+                let own = quota::propose(rec.map(|r| &r.value), &self.name, limit, more);
+                match own {
+                    Some((_, new)) if more.within(new) => more,
+                    _ => target,
+                }
+            } else if !settled {
+                continue;
+            } else if v.short.contains(&*team) && have != target {
+                target
+            } else if !have.within(s.peak.plus(spare(3))) {
+                s.peak.plus(spare(8))
+            } else {
+                continue;
+            };
             let Some((q, new)) = quota::propose(rec.map(|r| &r.value), &self.name, limit, target)
             else {
                 continue;
@@ -296,7 +335,10 @@
         }
         let whole = j.spec.kind == Kind::Gang || j.spec.one_zone || j.spec.spread;
         let set = if whole {
-            if j.waiting.len() != j.spec.tasks {
+            // All of it, or all of our part of a gang over several regions.
+            if j.waiting.len() != j.mine.len()
+                || !(j.mine.len() == j.spec.tasks || j.joint.is_some())
+            {
                 return;
             }
             j.waiting.clone()
@@ -313,6 +355,8 @@
         }
         owners.extend(set.iter().map(|(s, e)| Part(s, e, to.to_owned())));
         owners.sort_by_key(|p| p.0);
+        // Once the last part of a gang is with nobody, it is bound anew.
+        let free = owners.iter().all(|p| p.2.is_empty());
         let mut parts: Vec<Part> = Vec::new();
         for p in owners {
             match parts.last_mut() {
@@ -323,7 +367,15 @@
         if parts.len() > 24 {
             return; // the record must stay small
         }
-        log::debug!("region: {job}: {} tasks given to {to}", set.len());
+        if free {
+            parts.clear();
+        }
+        log::debug!("region: {job}: {} tasks given to {to:?}", set.len());
+        let joint = if free || j.joint.is_none() {
+            None
+        } else {
+            rec.value.joint.clone()
+        };
         j.waiting.remove_all(&set);
         j.moving = set;
         j.writing = true;
@@ -336,11 +388,13 @@
                 key,
                 Some(value(&JobRecord {
                     parts,
+                    joint,
                     ..rec.value.clone()
                 })),
             )],
             lease: None,
         };
+        self.rekey(&id, v);
         self.out
             .push(Effect::Commit(txn, Urgency::First, Purpose::Move(id)));
     }
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -97,6 +97,7 @@
     ticket: u64,
     txn: Txn,
     urgency: Urgency,
+    asked: Micros,
     give_up: Option<Micros>,
     not_before: Micros,
     /// A sending of it is unanswered: it may yet be carried out.
@@ -264,9 +265,13 @@
     in_flight: usize,
     requests: Bucket,
     writes: Bucket,
+    write_floor: f64,
+    write_most: f64,
     out: Vec<StoreCall>,
     commit_times: Vec<Micros>,
     commit_sent: BTreeMap<u64, Micros>,
+    /// The time of the last call.
+    now: Micros,
 }
 
 const MARGIN: Micros = 300 * MILLI;
@@ -294,15 +299,18 @@
     pub fn new(s: &Settings) -> Self {
         let n = s.size() as f64;
         let share = s.store_rps / n;
+        // More than an even share each, since not all have much to write at once;
+        // when that is too much together, each comes down to its even share.
+        let most = (0.95 / n).max(0.4);
         Registry {
             replica: Replica::default(),
             load: Load::Needed { not_before: 0 },
             follow_busy: false,
             follow_next: 0,
-            follow_gap: ((1e6 / (share * 0.35)) as Micros).max(20 * MILLI),
+            follow_gap: ((1e6 / (share * 0.3)) as Micros).max(20 * MILLI),
             barrier_busy: false,
             barrier_next: 0,
-            barrier_gap: ((1e6 / (share * 0.25)) as Micros).max(20 * MILLI),
+            barrier_gap: ((1e6 / (share * 0.2)) as Micros).max(20 * MILLI),
             barrier_wanted: false,
             fresh_at: None,
             failing: false,
@@ -321,10 +329,13 @@
             next_ticket: 1,
             in_flight: 0,
             requests: Bucket::new(share * 0.95),
-            writes: Bucket::new(s.store_writes * 0.45),
+            writes: Bucket::new(s.store_writes * most),
+            write_floor: s.store_writes * 0.95 / n,
+            write_most: s.store_writes * most,
             out: Vec::new(),
             commit_times: Vec::new(),
             commit_sent: BTreeMap::new(),
+            now: 0,
         }
     }
 
@@ -410,6 +421,7 @@
             ticket,
             txn,
             urgency,
+            asked: self.now,
             give_up,
             not_before: 0,
             unsure: false,
@@ -458,6 +470,7 @@
         now: Micros,
         events: &mut Vec<RegistryEvent>,
     ) -> (Vec<StoreCall>, Micros) {
+        self.now = now;
         self.requests.fill(now);
         self.writes.fill(now);
         let mut next = now + SECOND;
@@ -595,6 +608,8 @@
                 }
                 let cost = c.txn.apply.len() as f64;
                 let at_once = COMMITS_AT_ONCE - if urgent { 0 } else { 2 };
+                // What can wait leaves some for what can't.
+                let cost = cost + if urgent { 0.0 } else { self.writes.cap * 0.4 };
                 if now < c.not_before
                     || self.in_flight >= at_once
                     || !self.requests.has(1.0)
@@ -613,7 +628,7 @@
                     held.push_back(c);
                     continue;
                 }
-                self.writes.level -= cost;
+                self.writes.level -= c.txn.apply.len() as f64;
                 self.in_flight += 1;
                 let body = encode(&txn_value(&c.txn));
                 let timeout = if urgent { 1200 * MILLI } else { 2 * SECOND };
@@ -848,6 +863,15 @@
         events: &mut Vec<RegistryEvent>,
     ) {
         self.in_flight -= 1;
+        match &result {
+            Ok(r) if r.status == 429 => {
+                self.writes.rate = (self.writes.rate * 0.7).max(self.write_floor)
+            }
+            Ok(r) if r.status == 200 => {
+                self.writes.rate = (self.writes.rate + 0.05).min(self.write_most);
+            }
+            _ => {}
+        }
         let sent_at = self.commit_sent.remove(&c.ticket).unwrap_or(now);
         let end = match &result {
             Ok(r) if r.status == 200 => {
@@ -875,6 +899,13 @@
         if let Some(end) = end {
             if let Outcome::Done(mark) = end {
                 self.commit_times.push(now - sent_at);
+                log::debug!(
+                    "registry: commit: {} changes, first {}, {} ms after it was asked for, {} waiting",
+                    c.txn.apply.len(),
+                    c.txn.apply.first().map_or_else(String::new, |(k, _)| k.text()),
+                    (now - c.asked) / MILLI,
+                    self.first.len() + self.later.len()
+                );
                 let mut keys = Vec::new();
                 for (k, v) in c.txn.apply {
                     self.replica.own(&k, v, mark);
--- a/src/registry/records.rs
+++ b/src/registry/records.rs
@@ -20,8 +20,12 @@
     Token,
     /// Who owns a region.
     Region(String),
-    /// A machine and the region it is dealt to.
+    /// A machine and the region it is dealt to, as versions before 0.2 kept it.
     Machine(String),
+    /// Machines rented together and the region they are dealt to.
+    Lot(String),
+    /// Which machines of a region's lots were opened, by region and number.
+    Roll(String, u32),
     /// A job.
     Job(String),
     /// Finished tasks of a job, as one region found them.
@@ -40,6 +44,8 @@
             Key::Token => format!("{PREFIX}token"),
             Key::Region(r) => format!("{PREFIX}region/{r}"),
             Key::Machine(m) => format!("{PREFIX}machine/{m}"),
+            Key::Lot(l) => format!("{PREFIX}lot/{l}"),
+            Key::Roll(r, n) => format!("{PREFIX}roll/{r}/{n}"),
             Key::Job(j) => format!("{PREFIX}job/{j}"),
             Key::Progress(j, r, c) => format!("{PREFIX}progress/{j}/{r}/{c}"),
             Key::Quota(t) => format!("{PREFIX}quota/{t}"),
@@ -56,6 +62,11 @@
             "token" => Key::Token,
             "region" => Key::Region(rest.into()),
             "machine" => Key::Machine(rest.into()),
+            "lot" => Key::Lot(rest.into()),
+            "roll" => {
+                let (r, n) = rest.rsplit_once('/')?;
+                Key::Roll(r.into(), n.parse().ok()?)
+            }
             "job" => Key::Job(rest.into()),
             "quota" => Key::Quota(rest.into()),
             "flavor" => Key::Flavor(rest.into()),
@@ -88,7 +99,8 @@
     pub token: u64,
 }
 
-/// `machine/NAME`.
+/// A machine as the records show it: either one `machine/NAME` of its own, as
+/// versions before 0.2 wrote it, or a place in a lot.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MachineRecord {
     /// Region, for life.
@@ -103,8 +115,45 @@
     /// has never been given a task by anyone.
     #[serde(default)]
     pub opened: bool,
+    /// The lot it is in, and its place there.
+    #[serde(skip)]
+    pub lot: Option<(std::rc::Rc<str>, usize)>,
+}
+
+/// `lot/ID`: machines of one type, zone and kind that were rented together and
+/// are dealt together. One record for many: a record a machine would cost
+/// more changes than the state service takes when thousands come at once.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LotRecord {
+    /// Region, for life.
+    #[serde(rename = "r")]
+    pub region: String,
+    /// Type.
+    #[serde(rename = "f")]
+    pub flavor: String,
+    /// Zone.
+    #[serde(rename = "z")]
+    pub zone: String,
+    /// Spot or ordinary.
+    #[serde(rename = "s")]
+    pub spot: bool,
+    /// Names; an empty one was a machine that is proved gone. Places never shift,
+    /// since the roll counts by them.
+    #[serde(rename = "m")]
+    pub machines: Vec<String>,
 }
 
+/// `roll/REGION/N`: by lot, a bitmap of the machines that were opened. Written by
+/// the region's owner before it sends the first start to a machine: one that isn't
+/// in it has never been given a task by anyone.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct RollRecord(pub std::collections::BTreeMap<String, String>);
+
+/// Most machines of a lot: what one rental returns at the most.
+pub const LOT: usize = 50;
+/// Most lots of one roll record, so that it stays below 2 KB.
+pub const ROLL: usize = 40;
+
 /// Where a job stands, for good or for now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Stage {
@@ -143,8 +192,21 @@
     /// Which regions hold which tasks; empty: not bound yet.
     #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
     pub parts: Vec<Part>,
+    /// Of a gang over several regions: the attempt that all parts start under,
+    /// and the zone that all keep to if they must be together.
+    #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
+    pub joint: Option<Joint>,
 }
 
+/// What the parts of a gang over several regions have in common.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Joint(
+    /// Attempt.
+    pub u64,
+    /// Zone, if all tasks must be in one.
+    pub Option<String>,
+);
+
 impl JobRecord {
     /// The tasks bound to a region.
     pub fn tasks_of(&self, region: &str) -> RangeSet {
@@ -221,6 +283,8 @@
             Key::Token,
             Key::Region("a".into()),
             Key::Machine("m-1".into()),
+            Key::Lot("t-0-4-1".into()),
+            Key::Roll("t-0".into(), 3),
             Key::Job("req-1".into()),
             Key::Progress("req-1".into(), "t-0".into(), 7),
             Key::Quota("x".into()),
@@ -228,7 +292,7 @@
         ] {
             assert_eq!(Key::parse(&k.text()), Some(k));
         }
-        for bad in ["x/leader", "st/else", "st/progress/a/b"] {
+        for bad in ["x/leader", "st/else", "st/progress/a/b", "st/roll/a"] {
             assert_eq!(Key::parse(bad), None);
         }
         let mut set = RangeSet::from_range(5, 9);
--- a/src/registry/replica.rs
+++ b/src/registry/replica.rs
@@ -7,9 +7,11 @@
 use serde_json::Value;
 
 use super::records::{
-    read_bitmap, JobRecord, Key, LeaderRecord, MachineRecord, QuotaRecord, RegionRecord,
+    read_bitmap, JobRecord, Key, LeaderRecord, LotRecord, MachineRecord, Part, QuotaRecord,
+    RegionRecord, RollRecord,
 };
 use crate::model::{Flavor, JobSpec, RangeSet};
+use crate::settings::Amount;
 
 /// A record with the revision of its last change.
 #[derive(Debug, Clone)]
@@ -32,12 +34,24 @@
     pub token: Option<Versioned<u64>>,
     /// Regions' owners.
     pub regions: BTreeMap<String, Versioned<RegionRecord>>,
-    /// Machines.
+    /// Machines, of lots and with records of their own.
     pub machines: BTreeMap<String, Versioned<MachineRecord>>,
+    /// Lots of machines.
+    pub lots: BTreeMap<String, Versioned<LotRecord>>,
+    /// Which machines of lots were opened.
+    pub rolls: BTreeMap<(String, u32), Versioned<RollRecord>>,
+    /// Machines by region, type, zone and kind, counted.
+    pub stock: BTreeMap<String, BTreeMap<(String, String, bool), u32>>,
     /// Jobs.
     pub jobs: BTreeMap<String, Versioned<JobRecord>>,
     /// Names of the jobs that are not over.
     pub open: std::collections::BTreeSet<String>,
+    /// Names of the open jobs that are bound to no region.
+    pub unbound: std::collections::BTreeSet<String>,
+    /// The level-one list: open jobs of each region.
+    pub level_one: BTreeMap<String, u32>,
+    /// Open jobs of each team by time of submission, with what they need.
+    pub teams: BTreeMap<String, BTreeMap<(u64, String), Amount>>,
     /// Finished tasks by job, region and chunk.
     pub progress: BTreeMap<String, BTreeMap<(String, u32), Versioned<String>>>,
     /// Shares of limits.
@@ -47,6 +61,13 @@
     /// Our own changes beyond `revision`: key and mark (also of deletions), so
     /// that an older event that comes in later can't undo them.
     ahead: BTreeMap<Key, u64>,
+    /// Open jobs that are gangs over several regions.
+    pub joint: std::collections::BTreeSet<String>,
+    /// Machine records that can't be read. While there are any, nobody may take
+    /// the machines that are known for all there are.
+    pub unreadable: std::collections::BTreeSet<Key>,
+    /// Machines whose view changed since they were last asked for.
+    touched: std::collections::BTreeSet<String>,
 }
 
 fn set<K: Ord, T: DeserializeOwned>(
@@ -75,7 +96,13 @@
             Key::Leader => self.leader.as_ref().map_or(0, |v| v.mark),
             Key::Token => self.token.as_ref().map_or(0, |v| v.mark),
             Key::Region(r) => self.regions.get(r).map_or(0, |v| v.mark),
-            Key::Machine(m) => self.machines.get(m).map_or(0, |v| v.mark),
+            Key::Machine(m) => self
+                .machines
+                .get(m)
+                .filter(|v| v.value.lot.is_none())
+                .map_or(0, |v| v.mark),
+            Key::Lot(l) => self.lots.get(l).map_or(0, |v| v.mark),
+            Key::Roll(r, n) => self.rolls.get(&(r.clone(), *n)).map_or(0, |v| v.mark),
             Key::Job(j) => self.jobs.get(j).map_or(0, |v| v.mark),
             Key::Progress(j, r, c) => self
                 .progress
@@ -94,7 +121,13 @@
             log::debug!("registry: {key}: not ours, passed over");
             return None;
         };
-        if mark <= self.mark(&key) || self.ahead.get(&key).is_some_and(|m| mark <= *m) {
+        // Guards against an answer to an older read that comes in late: the copy is
+        // complete up to its revision, and what such an answer shows as there may
+        // have been deleted since.
+        if mark <= self.revision
+            || mark <= self.mark(&key)
+            || self.ahead.get(&key).is_some_and(|m| mark <= *m)
+        {
             return None;
         }
         self.write(&key, value, mark).then_some(key)
@@ -130,14 +163,31 @@
                     .map(|value| self.token = Some(Versioned { value, mark })),
             },
             Key::Region(r) => set(&mut self.regions, r.clone(), value, mark),
-            Key::Machine(m) => set(&mut self.machines, m.clone(), value, mark),
+            Key::Machine(m) => match value.map(serde_json::from_value).transpose() {
+                Ok(rec) => {
+                    self.enter_machine(m, rec, mark);
+                    Ok(())
+                }
+                Err(e) => Err(e),
+            },
+            Key::Lot(l) => match value.map(serde_json::from_value).transpose() {
+                Ok(rec) => {
+                    self.enter_lot(l, rec, mark);
+                    Ok(())
+                }
+                Err(e) => Err(e),
+            },
+            Key::Roll(r, n) => {
+                let res = set(&mut self.rolls, (r.clone(), *n), value, mark);
+                if res.is_ok() {
+                    self.enter_roll(r, *n);
+                }
+                res
+            }
             Key::Job(j) => {
+                self.count_job(j, false);
                 let res = set(&mut self.jobs, j.clone(), value, mark);
-                if self.jobs.get(j).is_some_and(|r| r.value.open().is_some()) {
-                    self.open.insert(j.clone());
-                } else {
-                    self.open.remove(j);
-                }
+                self.count_job(j, true);
                 res
             }
             Key::Quota(t) => set(&mut self.quotas, t.clone(), value, mark),
@@ -156,9 +206,158 @@
             // wrote it is a later version of us, or broken.
             log::error!("registry: {}: record can't be read: {e}", key.text());
         }
+        if matches!(key, Key::Machine(_) | Key::Lot(_) | Key::Roll(..)) {
+            if done.is_ok() {
+                self.unreadable.remove(key);
+            } else {
+                self.unreadable.insert(key.clone());
+            }
+        }
         done.is_ok()
     }
 
+    /// Machines whose view changed since the last call.
+    pub fn take_touched(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.touched).into_iter().collect()
+    }
+
+    fn enter_machine(&mut self, name: &str, rec: Option<MachineRecord>, mark: u64) {
+        if let Some(old) = self.machines.remove(name) {
+            let m = old.value;
+            if let Some(kinds) = self.stock.get_mut(&m.region) {
+                let kind = (m.flavor, m.zone, m.spot);
+                if let Some(n) = kinds.get_mut(&kind) {
+                    *n -= 1;
+                    if *n == 0 {
+                        kinds.remove(&kind);
+                    }
+                }
+            }
+        }
+        if let Some(value) = rec {
+            let kind = (value.flavor.clone(), value.zone.clone(), value.spot);
+            let kinds = self.stock.entry(value.region.clone()).or_default();
+            *kinds.entry(kind).or_default() += 1;
+            self.machines
+                .insert(name.to_owned(), Versioned { value, mark });
+        }
+        self.touched.insert(name.to_owned());
+    }
+
+    fn enter_lot(&mut self, id: &str, rec: Option<LotRecord>, mark: u64) {
+        let old = self.lots.remove(id).map(|l| l.value);
+        for (i, name) in old.iter().flat_map(|l| l.machines.iter().enumerate()) {
+            let stays = rec
+                .as_ref()
+                .is_some_and(|r| r.machines.get(i) == Some(name));
+            let ours = self
+                .machines
+                .get(name)
+                .is_some_and(|m| m.value.lot.as_ref().is_some_and(|(l, _)| &**l == id));
+            if !stays && ours {
+                self.enter_machine(name, None, mark);
+            }
+        }
+        let Some(rec) = rec else { return };
+        let lot: Rc<str> = Rc::from(id);
+        let opened = self.opened_in(&rec.region, id);
+        for (i, name) in rec.machines.iter().enumerate() {
+            // A record of its own, written by an earlier version, goes first.
+            let own = self
+                .machines
+                .get(name)
+                .is_some_and(|m| m.value.lot.as_ref().is_none_or(|(l, _)| &**l != id));
+            if name.is_empty() || own {
+                continue;
+            }
+            let value = MachineRecord {
+                region: rec.region.clone(),
+                flavor: rec.flavor.clone(),
+                zone: rec.zone.clone(),
+                spot: rec.spot,
+                opened: opened.contains(i as u32),
+                lot: Some((lot.clone(), i)),
+            };
+            if self.machines.get(name).is_none_or(|m| m.value != value) {
+                self.enter_machine(name, Some(value), mark);
+            }
+        }
+        self.lots
+            .insert(id.to_owned(), Versioned { value: rec, mark });
+    }
+
+    /// Which places of a lot were opened.
+    fn opened_in(&self, region: &str, lot: &str) -> RangeSet {
+        let mut set = RangeSet::default();
+        let rolls = self
+            .rolls
+            .range((region.to_owned(), 0)..=(region.to_owned(), u32::MAX));
+        for (_, roll) in rolls {
+            if let Some(bits) = roll.value.0.get(lot) {
+                read_bitmap(bits, 0, &mut set);
+            }
+        }
+        set
+    }
+
+    fn enter_roll(&mut self, region: &str, n: u32) {
+        let Some(roll) = self.rolls.get(&(region.to_owned(), n)) else {
+            return;
+        };
+        for (lot, bits) in &roll.value.0 {
+            let Some(l) = self.lots.get(lot) else {
+                continue;
+            };
+            let mut set = RangeSet::default();
+            read_bitmap(bits, 0, &mut set);
+            for i in set.numbers() {
+                let Some(name) = l.value.machines.get(i as usize) else {
+                    break;
+                };
+                if let Some(m) = self.machines.get_mut(name) {
+                    let here = m.value.lot.as_ref().is_some_and(|(l, _)| **l == **lot);
+                    if here && !m.value.opened {
+                        m.value.opened = true;
+                        self.touched.insert(name.clone());
+                    }
+                }
+            }
+        }
+    }
+
+    /// Enters an open job into the lists by region and team, or takes it out.
+    fn count_job(&mut self, id: &str, enter: bool) {
+        let Some(rec) = self.jobs.get(id) else { return };
+        let Some(spec) = rec.value.open() else {
+            return;
+        };
+        let key = (spec.submitted, id.to_owned());
+        let need = spec.amount().times(spec.tasks as u64);
+        let mut regions: Vec<&str> = rec.value.parts.iter().map(|Part(_, _, r)| &**r).collect();
+        regions.sort_unstable();
+        regions.dedup();
+        for r in regions {
+            let n = self.level_one.entry(r.to_owned()).or_default();
+            *n = if enter { *n + 1 } else { n.saturating_sub(1) };
+        }
+        let team = self.teams.entry(spec.team.clone()).or_default();
+        if enter {
+            team.insert(key, need);
+            self.open.insert(id.to_owned());
+            if rec.value.parts.is_empty() {
+                self.unbound.insert(id.to_owned());
+            }
+            if rec.value.joint.is_some() {
+                self.joint.insert(id.to_owned());
+            }
+        } else {
+            team.remove(&key);
+            self.open.remove(id);
+            self.unbound.remove(id);
+            self.joint.remove(id);
+        }
+    }
+
     /// The copy is now complete up to `revision`.
     pub fn reached(&mut self, revision: u64) {
         if revision > self.revision {
@@ -217,6 +416,8 @@
         assert!(r.event("st/machine/m-1", Some(m("c")), 10).is_none());
         assert!(r.machines.is_empty());
         r.reached(12);
+        // An answer to a read from before the deletion, overtaken by a later one.
+        assert!(r.event("st/machine/m-1", Some(m("c")), 11).is_none());
         assert!(r.event("st/machine/m-1", Some(m("d")), 13).is_some());
         assert!(r.event("st/machine/m-2", Some(json!(3)), 14).is_none());
         assert!(r.event("st/bad", Some(json!(3)), 14).is_none());
--- a/src/sim.rs
+++ b/src/sim.rs
@@ -196,6 +196,8 @@
     workers: BTreeMap<String, Worker>,
     next_machine: u32,
     tenancies: BTreeMap<String, Vec<String>>,
+    /// Every machine there ever was: when it came, and when it was returned.
+    history: BTreeMap<String, (Micros, Option<Micros>)>,
     cloud_down: Micros,
     jobs: BTreeMap<String, Job>,
     broken: Vec<String>,
@@ -243,6 +245,7 @@
             workers: BTreeMap::new(),
             next_machine: 0,
             tenancies: BTreeMap::new(),
+            history: BTreeMap::new(),
             cloud_down: 0,
             jobs: BTreeMap::new(),
             broken: Vec::new(),
@@ -690,7 +693,11 @@
             ),
             "/machines/release" => {
                 for n in body["tillers"].as_array().unwrap() {
-                    self.workers.remove(n.as_str().unwrap());
+                    let n = n.as_str().unwrap();
+                    self.workers.remove(n);
+                    if let Some(h) = self.history.get_mut(n) {
+                        h.1.get_or_insert(self.now);
+                    }
                 }
                 reply(200, json!({}))
             }
@@ -724,6 +731,7 @@
                         hangs: 0,
                     };
                     self.workers.insert(name.clone(), w);
+                    self.history.insert(name.clone(), (self.now, None));
                     let up = self.now + self.rng.u64(1..10) * SECOND;
                     self.at(up, Ev::MachineUp(name.clone()));
                     names.push(name);
@@ -731,7 +739,21 @@
                 self.tenancies.insert(tenancy, names.clone());
                 reply(200, json!({ "tillers": names }))
             }
-            _ => reply(200, json!({"tillers": [], "more": false})),
+            _ => {
+                // As it was a while ago.
+                let at = self.now.saturating_sub(self.rng.u64(8..16) * SECOND);
+                let tillers: Vec<Value> = self
+                    .history
+                    .iter()
+                    .filter(|(_, (born, gone))| *born <= at && gone.is_none_or(|g| g > at))
+                    .filter_map(|(n, (born, _))| {
+                        let w = self.workers.get(n)?;
+                        Some(json!({"nameId": n, "address": "x", "plot": w.flavor, "field": "a",
+                            "fallow": w.spot, "stage": "running", "heldS": (at - born) as f64 / 1e6}))
+                    })
+                    .collect();
+                reply(200, json!({"tillers": tillers, "more": false}))
+            }
         }
     }
 
