--- a/src/leader.rs
+++ b/src/leader.rs
@@ -138,6 +138,8 @@
     count: u64,
     since: Micros,
     narrow: Option<String>,
+    /// Its team's limit is used up.
+    short: bool,
 }
 
 impl Wait {
@@ -861,6 +863,7 @@
                     count: w.waiting as u64,
                     since: w.since_us,
                     narrow: narrow_type(spec, v.replica),
+                    short: r.short.iter().any(|(t, _)| *t == spec.team),
                 });
             }
         }
@@ -933,6 +936,11 @@
         // Room at home comes first and is spoken for.
         for w in waits.iter_mut() {
             let (narrow, mut left) = (w.narrow.is_some(), w.count);
+            // Guards against a job for which there seems to be room at home and that
+            // waits all the same: then it isn't counted on.
+            if w.whole() && w.since > DOUBTFUL && !w.short {
+                continue;
+            }
             for r in rooms.iter_mut().filter(|r| r.live && r.region == w.region) {
                 if left == 0 {
                     break;
@@ -1261,6 +1269,9 @@
     }
 }
 
+/// A job for which there is room in its region starts within this time.
+const DOUBTFUL: Micros = 25 * SECOND;
+
 /// A part of a gang over several regions has waited so long that it is better
 /// bound anew.
 fn w_too_long(since: Micros) -> bool {
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -62,8 +62,9 @@
     pub waits: Vec<WaitLine>,
     /// Running tasks by job.
     pub counts: Vec<CountLine>,
-    /// Teams whose limit other regions' shares leave too little of.
-    pub short: Vec<String>,
+    /// Teams whose limit other regions' shares leave too little of, and when the
+    /// oldest job that lacks some was submitted.
+    pub short: Vec<(String, u64)>,
     /// Parts of gangs over several regions for which room is held, by attempt.
     pub ready: Vec<(String, u64)>,
 }
@@ -230,7 +231,7 @@
                     job: "req-1".into(),
                     running: 2,
                 }],
-                short: vec!["red".into()],
+                short: vec![("red".into(), 5)],
                 ready: vec![("req-2".into(), 7)],
             }],
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -109,7 +109,7 @@
     peers: BTreeMap<String, Peer>,
     reports: Reports,
     /// Teams whose limit other regions find used up.
-    short: BTreeSet<String>,
+    short: BTreeMap<String, u64>,
     mesh_next: Micros,
     mesh_count: u32,
     aims: Aims,
@@ -201,7 +201,7 @@
                 .map(|p| (p.name.clone(), Peer::default()))
                 .collect(),
             reports: Reports::new(),
-            short: BTreeSet::new(),
+            short: BTreeMap::new(),
             mesh_next: 0,
             mesh_count: 0,
             aims: Aims::new(&settings.objectives, &settings.operator),
@@ -746,12 +746,15 @@
         }
         let now = self.now;
         self.reports.retain(|_, (_, at)| now < *at + 6 * SECOND);
-        self.short = self
-            .reports
-            .iter()
-            .filter(|(name, _)| !self.regions.contains_key(*name))
-            .flat_map(|(_, (r, _))| r.short.iter().cloned())
-            .collect();
+        self.short.clear();
+        for (name, (r, _)) in &self.reports {
+            if !self.regions.contains_key(name) {
+                for (team, at) in &r.short {
+                    let e = self.short.entry(team.clone()).or_insert(*at);
+                    *e = (*e).min(*at);
+                }
+            }
+        }
         self.mesh_count += 1;
         let all = self.mesh_count.is_multiple_of(ALL_TOLD);
         let state = |regions: Vec<mesh::RegionReport>| {
--- a/src/region/machines.rs
+++ b/src/region/machines.rs
@@ -12,8 +12,8 @@
 const GREETINGS: u32 = 4;
 /// Starts in a row that were not carried out before a machine counts as deaf.
 const UNHEEDED: u32 = 2;
-/// How often a deaf machine is tried again before it is returned.
-const PROBES: u32 = 4;
+/// How often a machine is found deaf before it is returned.
+const DEAF_TIMES: u32 = 4;
 
 /// How long a machine that is heard no more is given while others report.
 fn unheard(v: &View<'_>) -> Micros {
@@ -29,10 +29,9 @@
     Good,
     /// So many starts in a row were not carried out.
     Doubt(u32),
-    /// They don't: nothing is placed there before this time.
-    Deaf { until: Micros, times: u32 },
-    /// One task is placed there to see.
-    Probing { times: u32 },
+    /// They don't, as of this time: nothing is placed there. If they did again,
+    /// its session would stand; once it has for longer than a lease, they do.
+    Deaf { since: Micros, times: u32 },
 }
 
 impl Region {
@@ -71,6 +70,7 @@
             order: (0, 0),
             last_ok: v.now,
             heard_at: v.now,
+            answered_since: 0,
             greeted: 0,
             ear: Ear::Good,
             dealt_at: v.now,
@@ -149,11 +149,7 @@
         let Some(m) = self.machines.get(name) else {
             return;
         };
-        let hears = match m.ear {
-            Ear::Good | Ear::Doubt(_) => true,
-            Ear::Deaf { .. } => false,
-            Ear::Probing { .. } => m.tasks.is_empty(),
-        };
+        let hears = !matches!(m.ear, Ear::Deaf { .. });
         let to = if m.open() && hears {
             let free = m.free();
             let kept = self.list.groups.get(&m.group).and_then(|g| g.kept);
@@ -245,7 +241,12 @@
             return false;
         };
         let rose = m.order.0 != 0 && r.order.0 > m.order.0;
-        let answered = v.now < m.last_ok + v.settings.lease * 4 / 5;
+        // Answered without a break for the better part of a lease: one answer alone
+        // may have been to a report that came late.
+        if v.now > m.last_ok + 2 * v.settings.report + SECOND {
+            m.answered_since = v.now;
+        }
+        let answered = v.now > m.answered_since + v.settings.lease * 3 / 4;
         if m.rec.opened {
             self.heard.remove(&(m.heard_at, name.clone()));
             self.heard.insert((v.now, name.clone()));
@@ -276,30 +277,28 @@
             return;
         };
         let bad = rose || heeded == Some(false);
-        let good = !rose && heeded == Some(true);
-        let pause = |times: u32| Ear::Deaf {
-            until: v.now + ((3 * v.settings.report) << times.min(4)),
+        let lease = stretch(v.settings.lease) + v.settings.report;
+        let deaf = |times: u32| Ear::Deaf {
+            since: v.now,
             times,
         };
         let next = match m.ear {
-            Ear::Good if rose => pause(0),
+            Ear::Good if rose => deaf(1),
             Ear::Good if bad => Ear::Doubt(1),
-            Ear::Doubt(n) if rose || (bad && n + 1 >= UNHEEDED) => pause(0),
+            Ear::Doubt(n) if rose || (bad && n + 1 >= UNHEEDED) => deaf(1),
             Ear::Doubt(n) if bad => Ear::Doubt(n + 1),
-            Ear::Doubt(_) | Ear::Probing { .. } if good => Ear::Good,
-            Ear::Probing { times } if bad => pause(times + 1),
+            Ear::Doubt(_) if heeded == Some(true) => Ear::Good,
+            Ear::Deaf { times, .. } if bad => deaf(times + 1),
+            Ear::Deaf { since, .. } if v.now > since + lease => Ear::Good,
             same => same,
         };
         if next == m.ear {
             return;
         }
-        m.ear = next;
-        if let Ear::Deaf { until, times } = next {
-            log::info!(
-                "region: {name}: deaf, our answers don't arrive, time {}",
-                times + 1
-            );
-            if times >= PROBES && m.closed.is_none() {
+        let was = std::mem::replace(&mut m.ear, next);
+        if let Ear::Deaf { times, .. } = next {
+            log::info!("region: {name}: deaf, our answers don't arrive, time {times}");
+            if times >= DEAF_TIMES && m.closed.is_none() {
                 m.closed = Some("deaf");
             }
             let meant: Vec<(JobId, u32)> = m
@@ -311,9 +310,9 @@
             for (id, n) in meant {
                 self.lost(&id, n, "its machine is deaf", v);
             }
-            self.look_at(name, until);
-        } else if next == Ear::Good {
-            log::info!("region: {name}: hears us");
+            self.look_at(name, v.now);
+        } else if matches!(was, Ear::Deaf { .. }) {
+            log::info!("region: {name}: hears us again");
             self.dirty_machines.insert(name.clone());
         }
     }
@@ -652,11 +651,6 @@
         if let Some(n) = m.notice {
             next = next.min(n + 2 * SECOND);
         }
-        match m.ear {
-            Ear::Deaf { until, times } if v.now >= until => m.ear = Ear::Probing { times },
-            Ear::Deaf { until, .. } => next = next.min(until),
-            _ => {}
-        }
         if !m.tasks.is_empty() {
             return Some(next);
         }
--- a/src/region/mod.rs
+++ b/src/region/mod.rs
@@ -105,6 +105,8 @@
     last_ok: Micros,
     /// The last newer report under our token, or when we came to know of it.
     heard_at: Micros,
+    /// Since when its reports come and are answered without a break.
+    answered_since: Micros,
     /// Answers to reports that didn't carry our token, since one did.
     greeted: u32,
     ear: Ear,
@@ -166,6 +168,7 @@
     short: bool,
     /// Of a gang over several regions: what its parts have in common.
     joint: Option<Joint>,
+    given_up: bool,
     /// The joint attempt that was started last, and since when room is held for
     /// one that was not.
     tried: u64,
@@ -195,6 +198,7 @@
             key: None,
             short: false,
             joint: None,
+            given_up: false,
             tried: 0,
             held_since: None,
         }
@@ -256,6 +260,8 @@
     /// Counted as used until all machines are accounted for.
     inherited: Amount,
     want: Amount,
+    /// When the oldest of the jobs that want it was submitted.
+    oldest: Option<u64>,
     /// A smaller share that is being committed binds at once.
     pending: Option<Amount>,
     /// The limit leaves less than waiting tasks need.
@@ -275,8 +281,9 @@
     pub now: Micros,
     /// Time of day.
     pub wall: Micros,
-    /// Teams whose limit other regions find used up.
-    pub short: &'a BTreeSet<String>,
+    /// Teams whose limit other regions find used up, with the time of submission of
+    /// the oldest job that lacks some.
+    pub short: &'a BTreeMap<String, u64>,
 }
 
 /// An owned region.
@@ -441,8 +448,11 @@
             .jobs
             .entry(id.clone())
             .or_insert_with(|| Job::new(spec, narrow_to, v.now));
-        if job.joint != rec.joint {
-            job.joint = rec.joint.clone();
+        // A part of it is with nobody: it is to be bound anew.
+        let given_up = rec.parts.iter().any(|p| p.2.is_empty());
+        if job.joint != rec.joint || job.given_up != given_up {
+            job.joint.clone_from(&rec.joint);
+            job.given_up = given_up;
             // What was held for another attempt is let go.
             let assigned = job.held_since.take().is_some();
             if assigned {
@@ -706,6 +716,11 @@
         if r.order <= m.order {
             return Verdict::Stale;
         }
+        // Guards against one that comes in after we have found the machine's lease
+        // over: had it been sent since, its session would be a later one.
+        if m.standing == Standing::Empty && r.order.0 <= m.order.0 {
+            return Verdict::Stale;
+        }
         // A report that a machine sent before the cloud took it back.
         if m.gone {
             return Verdict::Stranger;
@@ -1193,7 +1208,7 @@
                 .shares
                 .iter()
                 .filter(|(_, s)| s.starved)
-                .map(|(t, _)| t.to_string())
+                .filter_map(|(t, s)| Some((t.to_string(), s.oldest?)))
                 .collect(),
             ready: self
                 .ready_parts()
@@ -1218,7 +1233,7 @@
         replica: Replica,
         settings: Settings,
         rev: u64,
-        short: BTreeSet<String>,
+        short: BTreeMap<String, u64>,
     }
 
     impl Fixture {
@@ -1227,7 +1242,7 @@
                 replica: Replica::default(),
                 settings: Settings::parse("f", &crate::settings::tests::sample()).unwrap(),
                 rev: 0,
-                short: BTreeSet::new(),
+                short: BTreeMap::new(),
             };
             f.put(
                 "st/flavor/box",
--- a/src/region/placing.rs
+++ b/src/region/placing.rs
@@ -417,6 +417,7 @@
         const LOOK: usize = 60;
         for s in self.shares.values_mut() {
             s.want = Amount::default();
+            s.oldest = None;
         }
         let ids: Vec<JobId> = self.ready.values().take(LOOK).cloned().collect();
         for (i, id) in ids.iter().enumerate() {
@@ -448,6 +449,7 @@
             if n > 0 {
                 let s = self.shares.entry(Rc::from(spec.team.as_str())).or_default();
                 s.want = s.want.plus(spec.amount().times(n));
+                s.oldest = Some(s.oldest.map_or(spec.submitted, |o| o.min(spec.submitted)));
             }
         }
     }
@@ -521,7 +523,13 @@
         // Of a gang over several regions, only this region's part is placed here.
         let n = job.mine.len();
         let whole = n == spec.tasks || job.joint.is_some();
-        if job.breaking || !job.out.is_empty() || job.waiting.len() != n || !whole || job.stuck() {
+        if job.breaking
+            || !job.out.is_empty()
+            || job.waiting.len() != n
+            || !whole
+            || job.stuck()
+            || job.given_up
+        {
             return;
         }
         let need = spec.amount().times(n as u64);
--- a/src/region/records.rs
+++ b/src/region/records.rs
@@ -262,7 +262,14 @@
             } else {
                 s.inherited.plus(s.fresh)
             };
-            let target = used.plus(s.want);
+            // Guards against two regions that each hold a part of what their gangs
+            // need, and neither enough: the older job goes first, and the others
+            // take nothing and give back what they don't use.
+            let yields = v
+                .short
+                .get(&*team)
+                .is_some_and(|at| s.oldest.is_none_or(|o| *at < o));
+            let target = if yields { used } else { used.plus(s.want) };
             if !target.within(s.peak) || v.now > s.peak_at + PEAK_KEPT {
                 s.peak = target;
                 s.peak_at = v.now;
@@ -286,7 +293,7 @@
                 }
             } else if !settled {
                 continue;
-            } else if v.short.contains(&*team) && !have.within(target.plus(spare(16))) {
+            } else if v.short.contains_key(&*team) && have != target {
                 target
             } else if !have.within(s.peak.plus(spare(2))) {
                 s.peak.plus(spare(4))
