--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -241,8 +241,13 @@
             .into_iter()
             .filter(|n| self.releasing.insert(n.clone()))
             .collect();
-        for chunk in fresh.chunks(100) {
-            self.queue.push_back(Ask::Release(chunk.to_vec()));
+        // Guards against a call for every few machines: the rate of calls, not the
+        // machines, would then say how fast they go back.
+        for name in fresh {
+            match self.queue.back_mut() {
+                Some(Ask::Release(names)) if names.len() < 100 => names.push(name),
+                _ => self.queue.push_back(Ask::Release(vec![name])),
+            }
         }
     }
 
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -61,6 +61,11 @@
     next_close: Micros,
     /// Processors in use by work that fits many types, smoothed over time.
     usual: f64,
+    /// The work that came in lately, and how much of what jobs' owners say is true.
+    inflow: Inflow,
+    truth: f64,
+    /// Processors that should be there for such work.
+    target: f64,
     /// What a job of such work takes, smoothed over jobs.
     job_size: f64,
     out: Vec<Effect>,
@@ -121,13 +126,13 @@
         n
     }
 
-    /// Processors that work of the one or the other kind may use.
+    /// Processors that work of the one or the other kind may use, in all.
     fn processors(&self, narrow: bool) -> f64 {
         let cap = match (narrow, self.kept, self.spot) {
             (false, Some(k), false) => self.cap.0.saturating_sub(k.0),
             _ => self.cap.0,
         };
-        cap as f64 * self.machines
+        cap as f64 * self.all
     }
 }
 
@@ -153,6 +158,51 @@
     s.kind == Kind::Gang || s.one_zone || s.spread
 }
 
+/// Work that came in over the last while, in slices.
+struct Inflow {
+    since: Micros,
+    slices: std::collections::VecDeque<(Micros, f64)>,
+}
+
+impl Inflow {
+    /// How far it looks back.
+    const WINDOW: Micros = 90 * SECOND;
+    /// What comes in right at the beginning has piled up before.
+    const PILE: Micros = 12 * SECOND;
+    /// Too little to go by until then.
+    const LEAST: Micros = 20 * SECOND;
+
+    fn new(now: Micros) -> Self {
+        Inflow {
+            since: now + Self::PILE,
+            slices: std::collections::VecDeque::new(),
+        }
+    }
+
+    /// Enters a job's work, processors times time, with when it was submitted:
+    /// that it is bound may come much later when all come at once.
+    fn add(&mut self, work: f64, at: Micros) {
+        if at < self.since {
+            return;
+        }
+        match self.slices.back_mut() {
+            Some((t, sum)) if at < *t + SECOND => *sum += work,
+            _ => self.slices.push_back((at, work)),
+        }
+    }
+
+    /// Work a time: how many processors it keeps busy.
+    fn rate(&mut self, now: Micros) -> Option<f64> {
+        let from = now.saturating_sub(Self::WINDOW);
+        while self.slices.front().is_some_and(|(at, _)| *at < from) {
+            self.slices.pop_front();
+        }
+        let span = now.saturating_sub(self.since.max(from));
+        let sum: f64 = self.slices.iter().map(|(_, w)| w).sum();
+        (span >= Self::LEAST).then(|| sum / span as f64)
+    }
+}
+
 impl Leader {
     /// A term that begins with the leader's record at this revision.
     pub fn new(mark: u64, v: &View<'_>) -> Self {
@@ -174,6 +224,9 @@
             next_flavors: 0,
             next_close: v.now + 5 * SECOND,
             usual: 0.0,
+            inflow: Inflow::new(v.now),
+            truth: 1.0,
+            target: 0.0,
             job_size: 0.0,
             out: Vec::new(),
         };
@@ -279,6 +332,9 @@
             let narrow = narrow_type(&spec, v.replica);
             if narrow.is_none() {
                 let size = spec.cpus as f64 * spec.tasks as f64;
+                let ago = v.wall.saturating_sub(spec.submitted);
+                self.inflow
+                    .add(size * spec.estimate as f64, v.now.saturating_sub(ago));
                 self.job_size += (size - self.job_size) * 0.1;
             }
             let bound = match self.joint(&spec, narrow.is_some(), v) {
@@ -347,7 +403,8 @@
                         .is_some_and(|f| s.allows(&f.value, z, *spot))
                 })
             });
-            if stock {
+            let holds = |x: &Room| x.at_most(s, is_narrow);
+            if stock && (need == 1 || self.in_region(s, r, holds) >= need) {
                 able.insert(r.clone());
             }
         }
@@ -543,16 +600,17 @@
     fn home_for(&self, offer: &Offer, v: &View<'_>) -> String {
         let regions = v.settings.regions();
         let flavor = |name: &str| v.replica.flavors.get(name).map(|f| &f.value);
-        let scarce = self.narrow.kept_for(&offer.flavor, v.now).is_some()
-            || flavor(&offer.flavor).is_some_and(|f| {
-                v.replica.flavors.len() > 1
-                    && v.replica.flavors.values().all(|o| {
-                        o.value.name == f.name
-                            || (o.value.cpus < f.cpus
-                                || o.value.mem < f.mem
-                                || o.value.gpus < f.gpus)
-                    })
-            });
+        let scarce = !offer.spot
+            && (self.narrow.kept_for(&offer.flavor, v.now).is_some()
+                || flavor(&offer.flavor).is_some_and(|f| {
+                    v.replica.flavors.len() > 1
+                        && v.replica.flavors.values().all(|o| {
+                            o.value.name == f.name
+                                || (o.value.cpus < f.cpus
+                                    || o.value.mem < f.mem
+                                    || o.value.gpus < f.gpus)
+                        })
+                }));
         let mut load: BTreeMap<&str, f64> = regions.iter().map(|r| (r.as_str(), 0.0)).collect();
         let mut same: BTreeMap<&str, u32> = BTreeMap::new();
         let mut all = 0;
@@ -566,7 +624,7 @@
                 let cpus = f.cpus.saturating_sub(kept.map_or(0, |k| k.0));
                 *l += cpus as f64 * n as f64;
             }
-            if kind.0 == offer.flavor && kind.1 == offer.zone {
+            if kind.0 == offer.flavor && kind.1 == offer.zone && kind.2 == offer.spot {
                 *same.entry(r).or_default() += n;
             }
         };
@@ -867,8 +925,9 @@
                 });
             }
         }
-        self.close_surplus(v, &waits);
-        let mut rooms = std::mem::take(&mut self.rooms);
+        self.look_at_demand(v, &waits);
+        self.close_surplus(v);
+        let mut rooms = self.rooms.clone();
         self.move_waiting(v, &mut waits, &mut rooms);
         if v.now > self.began + SECOND {
             self.rent(v, &waits, &mut rooms, fleet);
@@ -876,57 +935,73 @@
         self.rooms = rooms;
     }
 
-    /// Has machines closed that all regions together can do without: of those
-    /// that leave enough, the kind on which the most money is spent for nothing.
-    fn close_surplus(&mut self, v: &View<'_>, waits: &[Wait]) {
-        let (mut cap, mut used, mut machines) = (0.0, 0.0, 0.0);
-        let mut best: Option<(f64, &Room)> = None;
-        let open = || {
-            self.rooms
-                .iter()
-                .filter(|r| r.live && (r.spot || r.kept.is_none()))
-        };
-        for r in open() {
-            cap += r.cap.0 as f64 * r.machines;
-            used += (r.cap.0 - r.free.0) as f64 * r.machines;
-            machines += r.machines;
-        }
+    /// Follows how many processors work that fits many types takes, and what should
+    /// be there for it: what is usual and some more, and enough to get through what
+    /// waits within the horizon.
+    fn look_at_demand(&mut self, v: &View<'_>, waits: &[Wait]) {
+        let wide = || self.rooms.iter().filter(|r| r.processors(false) > 0.0);
+        let used: f64 = wide()
+            .filter(|r| r.live && (r.spot || r.kept.is_none()))
+            .map(|r| (r.cap.0 - r.free.0) as f64 * r.all)
+            .sum();
         self.usual += (used - self.usual) * 0.04;
-        if waits.iter().any(|w| w.narrow.is_none()) || v.now < self.next_close {
+        let mut backlog = 0.0;
+        for w in waits.iter().filter(|w| w.narrow.is_none() && !w.whole()) {
+            // No more than all at once.
+            let part = w.spec.estimate.max(SECOND) as f64 / horizon(&w.spec, v) as f64;
+            backlog += (w.count * w.spec.cpus) as f64 * part.min(1.0);
+        }
+        // What came in lately is what will be needed, if what jobs take is as their
+        // owners say; how far it isn't shows when nothing waits.
+        let came = self.inflow.rate(v.now);
+        if let Some(came) = came.filter(|c| *c > 0.0 && backlog < self.usual * 0.1) {
+            let ratio = (self.usual / came).clamp(0.4, 1.5);
+            self.truth += (ratio - self.truth) * 0.03;
+        }
+        let flow = came.map_or(self.usual, |c| c * self.truth);
+        self.target = flow * (1.0 + v.settings.operator.headroom) + self.job_size + backlog;
+    }
+
+    /// Has machines closed that all regions together can do without: of those
+    /// that leave enough the dearest by what a processor costs, emptier ones first.
+    fn close_surplus(&mut self, v: &View<'_>) {
+        if v.now < self.next_close {
             return;
         }
-        let keep = self.usual.max(used) * (1.0 + v.settings.operator.headroom) + self.job_size;
-        for r in open() {
+        let open = || self.rooms.iter().filter(|r| r.spot || r.kept.is_none());
+        let cap: f64 = open().map(|r| r.processors(false)).sum();
+        let spare = cap - self.target * 1.05;
+        let mut best: Option<(f64, &Room)> = None;
+        for r in open().filter(|r| r.live && (r.cap.0 as f64) < spare) {
             let Some(f) = v.replica.flavors.get(&r.flavor).map(|f| &f.value) else {
                 continue;
             };
-            if cap - (r.cap.0 as f64) < keep {
-                continue;
-            }
-            let price = if r.spot { f.spot_price } else { f.price } as f64;
-            let vain = price * (r.free.0 as f64 / r.cap.0.max(1) as f64);
+            let price = if r.spot { f.spot_price } else { f.price } as f64 / f.cpus.max(1) as f64;
+            let vain = price * (0.5 + r.free.0 as f64 / r.cap.0.max(1) as f64);
             if best.is_none_or(|(b, _)| vain > b) {
                 best = Some((vain, r));
             }
         }
         let Some((_, r)) = best else { return };
         // Some at a time, so that what follows from it is seen before the next.
-        let spare = ((cap - keep) / r.cap.0.max(1) as f64).max(1.0);
-        let count = spare.min(r.machines).min((machines / 40.0).max(1.0)) as u32;
+        let machines: f64 = open().map(|r| r.all).sum();
+        let count = (spare / r.cap.0.max(1) as f64)
+            .min(r.all)
+            .min((machines / 20.0).max(1.0)) as u32;
         self.next_close = v.now + 500 * MILLI;
         log::debug!(
-            "leader: {count} {} in {} not needed, {:.0} of {:.0} processors in use",
+            "leader: {count} {} in {} not needed, {:.0} processors up, {:.0} enough",
             r.flavor,
             r.region,
-            used / 1e6,
-            cap / 1e6
+            cap / 1e6,
+            self.target / 1e6
         );
         self.out.push(Effect::Tell(Message::Close {
             region: r.region.clone(),
             flavor: r.flavor.clone(),
             zone: r.zone.clone(),
             spot: r.spot,
-            count,
+            count: count.max(1),
         }));
     }
 
@@ -1019,8 +1094,11 @@
             asks -= usize::from(self.rent_whole(v, w, rooms, fleet));
         }
         // Other work, by the one type it fits or for all types together.
-        let mut groups: BTreeMap<Option<&str>, Vec<(&Wait, u64)>> = BTreeMap::new();
-        for w in waits.iter().filter(|w| !w.whole()) {
+        let mut groups: BTreeMap<Option<&str>, Vec<&Wait>> = BTreeMap::new();
+        let mut uncovered: BTreeMap<Option<&str>, u64> = BTreeMap::new();
+        for w in waits.iter().filter(|w| !w.whole() && w.count > 0) {
+            groups.entry(w.narrow.as_deref()).or_default().push(w);
+            // What is coming will take some of it.
             let mut left = w.count;
             for r in rooms.iter_mut().filter(|r| !r.live) {
                 if left == 0 {
@@ -1028,63 +1106,53 @@
                 }
                 left -= r.take(&w.spec, w.narrow.is_some(), left);
             }
-            if left > 0 {
-                groups
-                    .entry(w.narrow.as_deref())
-                    .or_default()
-                    .push((w, left));
-            }
+            *uncovered.entry(w.narrow.as_deref()).or_default() += left;
         }
         for (narrow, list) in groups {
-            // Processor-microseconds of work, counted in millionths of processors.
-            let work: f64 = list
+            let Some(first) = list.first() else { continue };
+            let mut tasks = uncovered.get(&narrow).copied().unwrap_or(0);
+            let spot = list.iter().any(|w| w.spec.spot);
+            // Capacity at hand or on its way, and what there should be.
+            let mut have: f64 = rooms
                 .iter()
-                .map(|(w, n)| *n as f64 * w.spec.cpus as f64 * w.spec.estimate.max(SECOND) as f64)
+                .filter(|r| narrow.is_none_or(|f| r.flavor == f && (spot || !r.spot)))
+                .map(|r| r.processors(narrow.is_some()))
                 .sum();
-            // Capacity at hand, and of that what is up already.
-            let (mut have, mut up) = (0.0, 0.0);
-            for r in rooms.iter() {
-                let of_use = match narrow {
-                    Some(f) => r.flavor == f && list.iter().any(|(w, _)| w.spec.spot || !r.spot),
-                    None => true,
-                };
-                if of_use {
-                    let cap = r.processors(narrow.is_some());
-                    have += cap;
-                    up += if r.live { cap } else { 0.0 };
-                }
-            }
-            let Some((w, _)) = list.first() else { continue };
-            let horizon = list
-                .iter()
-                .map(|(w, _)| horizon(&w.spec, v))
-                .min()
-                .unwrap_or(SECOND);
-            let mut tasks: u64 = list.iter().map(|(_, n)| *n).sum();
-            while asks > 0 && tasks > 0 {
-                let Some((offer, per, lack)) = self.best_offer(
-                    &w.spec,
-                    narrow.is_some(),
-                    work,
-                    (have, up),
-                    horizon,
-                    None,
-                    v,
-                ) else {
+            let target = match narrow {
+                None => self.target,
+                Some(_) => list
+                    .iter()
+                    .map(|w| {
+                        w.count as f64 * w.spec.cpus as f64 * w.spec.estimate.max(SECOND) as f64
+                            / horizon(&w.spec, v) as f64
+                    })
+                    .sum(),
+            };
+            // With nothing that would ever hold the first, one is needed whatever
+            // the sums say.
+            let shut = |w: &Wait| {
+                let holds = |r: &Room| r.at_most(&w.spec, w.narrow.is_some()) > 0;
+                !rooms.iter().any(holds)
+            };
+            let mut must = list.iter().find(|w| shut(w)).copied();
+            while asks > 0 && tasks > 0 && (have < target || must.is_some()) {
+                let w = must.take().unwrap_or(first);
+                let Some((offer, per)) = self.best_offer(&w.spec, narrow.is_some(), None, v) else {
                     break;
                 };
                 let Some(f) = v.replica.flavors.get(&offer.flavor).map(|f| &f.value) else {
                     break;
                 };
-                let by_work = (lack / f.cpus.max(1) as f64).ceil() as u64;
+                let by_work = ((target - have) / f.cpus.max(1) as f64).ceil().max(1.0) as u64;
                 let by_tasks = tasks.div_ceil(per.max(1));
                 let count = by_work.min(by_tasks).clamp(1, LOT as u64);
                 log::info!(
-                    "leader: renting {count} {} in {}{}: {tasks} tasks wait, {:.0} processor-seconds",
+                    "leader: renting {count} {} in {}{}: {tasks} tasks wait, {:.0} processors, {:.0} wanted",
                     offer.flavor,
                     offer.zone,
                     if offer.spot { ", spot" } else { "" },
-                    work / 1e12
+                    have / 1e6,
+                    target / 1e6
                 );
                 have += (f.cpus * count) as f64;
                 tasks = tasks.saturating_sub(per * count);
@@ -1095,8 +1163,10 @@
         }
     }
 
-    /// Rents what a job that keeps together lacks, or has it moved to where that
-    /// can be had. Whether anything was asked for.
+    /// Rents what a job that keeps together lacks where it is, or has it moved to
+    /// where that can be had. Whether anything was asked for. Machines go to the
+    /// region that is home to their kind, not to where the job happens to be: a
+    /// scarce type cut into pieces holds no large gang.
     fn rent_whole(
         &mut self,
         v: &View<'_>,
@@ -1106,112 +1176,86 @@
     ) -> bool {
         let (s, narrow) = (&w.spec, w.narrow.is_some());
         let need = s.tasks as u64;
-        // What its region has and will have, by zone.
-        let mut zones: BTreeMap<String, u64> = BTreeMap::new();
-        for r in rooms.iter().filter(|r| r.region == w.region) {
-            *zones.entry(r.zone.clone()).or_default() += r.takes(s, narrow);
+        // A zone, or all of them if it may be anywhere.
+        let mut places: BTreeSet<Option<String>> = BTreeSet::new();
+        if s.one_zone {
+            let zones = v.replica.flavors.values().flat_map(|f| &f.value.zones);
+            places.extend(zones.cloned().map(Some));
+        } else {
+            places.insert(None);
         }
-        let all: u64 = zones.values().sum();
-        let any = s.spread || !s.one_zone;
-        let offer_in = |l: &Self, zone: Option<&str>| {
-            l.best_offer(s, narrow, f64::MAX, (0.0, 0.0), SECOND, zone, v)
+        let inside = |r: &Room, region: &str, zone: &Option<String>| {
+            r.region == region && zone.as_ref().is_none_or(|z| *z == r.zone)
         };
-        let (zone, have) = if any {
-            (None, all)
-        } else {
-            // The zone in which it lacks the least, of those where more can be had.
-            let best = zones
+        let has = |zone: &Option<String>| -> u64 {
+            rooms
                 .iter()
-                .filter(|(z, n)| **n >= need || offer_in(self, Some(z)).is_some())
-                .max_by_key(|(_, n)| **n)
-                .map(|(z, n)| (Some(z.clone()), *n));
-            match best {
-                Some(b) if b.1 > 0 => b,
-                _ => {
-                    // Nothing yet: where its region is home to what comes.
-                    let home = offers(&v.replica.flavors).into_iter().find(|o| {
-                        v.replica
-                            .flavors
-                            .get(&o.flavor)
-                            .is_some_and(|f| s.allows(&f.value, &o.zone, o.spot))
-                            && !self.refusals.closed(o, v.now)
-                            && self.home_for(o, v) == w.region
-                    });
-                    match home {
-                        Some(o) => (Some(o.zone), 0),
-                        None => best.unwrap_or((None, 0)),
-                    }
-                }
-            }
+                .filter(|r| inside(r, &w.region, zone))
+                .map(|r| r.takes(s, narrow))
+                .sum()
         };
-        let taken = have.min(need);
-        let mut left = taken;
-        for r in rooms
-            .iter_mut()
-            .filter(|r| r.region == w.region && zone.as_ref().is_none_or(|z| *z == r.zone))
-        {
-            left -= r.take(s, narrow, left);
+        let offer = |l: &Self, zone: &Option<String>| l.best_offer(s, narrow, zone.as_deref(), v);
+        let here = |l: &Self, zone: &Option<String>| {
+            offer(l, zone).filter(|(o, _)| l.home_for(o, v) == w.region)
+        };
+        let best = places
+            .iter()
+            .map(|z| {
+                let n = has(z);
+                (n >= need, here(self, z).is_some(), n, z)
+            })
+            .max();
+        let Some((enough, for_rent, have, zone)) = best else {
+            return false;
+        };
+        if enough || for_rent {
+            let mut left = have.min(need);
+            for r in rooms.iter_mut().filter(|r| inside(r, &w.region, zone)) {
+                left -= r.take(s, narrow, left);
+            }
         }
-        if have >= need {
+        if enough {
             return false;
         }
-        let lacking = need - have;
-        match offer_in(self, zone.as_deref()) {
-            Some((offer, per, _)) => {
-                let count = lacking.div_ceil(per.max(1)).clamp(1, LOT as u64) as u32;
-                log::info!(
-                    "leader: {}: {lacking} of its {need} tasks lack machines",
-                    w.id
-                );
-                self.ask(offer, w.region.clone(), count, v, fleet);
-                true
-            }
-            None => {
-                self.move_whole(v, w);
-                false
-            }
+        if let Some((o, per)) = here(self, zone) {
+            let lacking = need - have;
+            let count = lacking.div_ceil(per.max(1)).clamp(1, LOT as u64) as u32;
+            log::info!(
+                "leader: {}: {lacking} of its {need} tasks lack machines",
+                w.id
+            );
+            self.ask(o, w.region.clone(), count, v, fleet);
+            return true;
         }
-    }
-
-    /// A job that keeps together waits where nothing more can be had: it goes to a
-    /// region where more can, or, if none can hold it, is bound anew over several.
-    fn move_whole(&mut self, v: &View<'_>, w: &Wait) {
-        let s = &w.spec;
-        let narrow = w.narrow.is_some();
-        if w.since < 5 * SECOND || self.moved.contains_key(&w.id) || w.count != s.tasks as u64 {
-            return;
+        if w.since < 2 * SECOND || self.moved.contains_key(&w.id) || w.count != need {
+            return false;
         }
-        let need = s.tasks as u64;
         let holds = |r: &str| self.in_region(s, r, |x| x.at_most(s, narrow)) >= need;
-        let elsewhere = offers(&v.replica.flavors)
-            .into_iter()
-            .filter(|o| {
-                v.replica
-                    .flavors
-                    .get(&o.flavor)
-                    .is_some_and(|f| s.allows(&f.value, &o.zone, o.spot))
-                    && !self.refusals.closed(o, v.now)
-            })
-            .map(|o| self.home_for(&o, v))
-            .find(|r| *r != w.region && v.replica.regions.contains_key(r));
+        let owned = |r: &String| v.replica.regions.contains_key(r);
+        let elsewhere = places
+            .iter()
+            .filter_map(|z| offer(self, z))
+            .map(|(o, _)| self.home_for(&o, v))
+            .find(|r| *r != w.region && owned(r));
         let to = match elsewhere {
             Some(r) => r,
             // Its region holds it once others are through.
-            None if holds(&w.region) => return,
+            None if holds(&w.region) => return false,
+            // Another does; or nobody, and it is bound anew, over several.
             None => {
-                let other = v.settings.regions().into_iter().find(|r| holds(r));
-                // To nobody: bound anew, over several regions if they hold it.
-                other.unwrap_or_default()
+                let mut all = v.settings.regions().into_iter();
+                all.find(|r| owned(r) && holds(r)).unwrap_or_default()
             }
         };
         log::info!("leader: {}: can't be had in {}, to {to:?}", w.id, w.region);
-        self.moved.insert(w.id.clone(), v.now + 20 * SECOND);
+        self.moved.insert(w.id.clone(), v.now + 10 * SECOND);
         self.out.push(Effect::Tell(Message::Move {
             job: w.id.clone(),
             from: w.region.clone(),
             to,
             count: s.tasks,
         }));
+        false
     }
 
     /// Asks the cloud, under a request name that nobody ever used: host, term
@@ -1223,21 +1267,15 @@
     }
 
     /// The cheapest offer for a job, by price of the processors it would use,
-    /// slow boots counted as dearer, and how many processors are lacking of it.
-    /// An offer is of use only for work that the machines at hand leave undone
-    /// by the time it has booted.
-    #[allow(clippy::too_many_arguments)]
+    /// slow boots counted as dearer, and how many of its tasks a machine holds.
     fn best_offer(
         &self,
         s: &JobSpec,
         narrow: bool,
-        work: f64,
-        (have, up): (f64, f64),
-        horizon: Micros,
         zone: Option<&str>,
         v: &View<'_>,
-    ) -> Option<(Offer, u64, f64)> {
-        let mut best: Option<(f64, Offer, u64, f64)> = None;
+    ) -> Option<(Offer, u64)> {
+        let mut best: Option<(f64, Offer, u64)> = None;
         for o in offers(&v.replica.flavors) {
             let Some(f) = v.replica.flavors.get(&o.flavor).map(|f| &f.value) else {
                 continue;
@@ -1255,17 +1293,13 @@
             if per == 0 {
                 continue;
             }
-            let lack = (work - up * f.boot as f64) / horizon as f64 - have;
-            if lack <= 0.0 {
-                continue;
-            }
             let price = if o.spot { f.spot_price } else { f.price } as f64;
             let cost = price / (per * s.cpus).max(1) as f64 * (1.0 + to_secs(f.boot) / 100.0);
             if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
-                best = Some((cost, o, per, lack));
+                best = Some((cost, o, per));
             }
         }
-        best.map(|(_, o, n, l)| (o, n, l))
+        best.map(|(_, o, n)| (o, n))
     }
 }
 
--- a/src/region/list.rs
+++ b/src/region/list.rs
@@ -117,6 +117,13 @@
             .map(|(s, set)| (floor(*s, self.cap), set.len() as u32))
     }
 
+    /// How many open machines hold no task.
+    pub fn idle(&self) -> usize {
+        let top = self.open.get(&step(self.cap, self.cap));
+        let set = top.into_iter().flatten();
+        set.take_while(|(held, _)| *held == 0).count()
+    }
+
     /// All open machines, those with the fewest tasks of each step first.
     pub fn names(&self) -> impl Iterator<Item = &Rc<str>> + '_ {
         self.open.values().flatten().map(|(_, n)| n)
--- a/src/region/machines.rs
+++ b/src/region/machines.rs
@@ -12,6 +12,8 @@
 const GREETINGS: u32 = 4;
 /// Starts in a row that were not carried out before a machine counts as deaf.
 const UNHEEDED: u32 = 2;
+/// How long machines beyond what is likely to be asked for next stand idle.
+const SPARE_PATIENCE: Micros = 5 * SECOND;
 /// How often a machine is found deaf before it is returned.
 const DEAF_TIMES: u32 = 4;
 
@@ -657,7 +659,13 @@
         let old = m.dealt_at + LEAST_AGE;
         // To stand idle for as long as a new one takes to boot costs as much as
         // that boot: beyond it, returning is the cheaper guess.
-        let patience = v.settings.operator.idle.unwrap_or(m.boot);
+        // But of a type that is kept for some jobs no more wait than its largest gang
+        // would take: those beyond are needed later than a new one would be up.
+        let mut patience = v.settings.operator.idle.unwrap_or(m.boot);
+        let group = self.list.groups.get(&m.group).filter(|g| g.kept.is_some());
+        if group.is_some_and(|g| g.idle() > self.narrow.largest(&m.rec.flavor) as usize) {
+            patience = patience.min(SPARE_PATIENCE);
+        }
         let idle = m.idle_since.max(m.dealt_at) + patience;
         if m.closed.is_some() || (v.now > old && v.now > idle && !self.is_wanted(name)) {
             return self.give_back(name, "idle", release);
--- a/src/region/placing.rs
+++ b/src/region/placing.rs
@@ -126,8 +126,10 @@
 }
 
 /// For how many waiting jobs shares are taken ahead of room.
-/// A gang waits so long before places are kept for it.
-const HOLD_AFTER: Micros = 3 * SECOND;
+/// A gang has been with us for so long when places begin to be kept for it. Until
+/// then smaller ones go ahead, since more of them are in time that way; a minute
+/// leaves three for the places to fill up, of the four in which it must begin.
+const HOLD_AFTER: Micros = 60 * SECOND;
 /// What a task that runs in the meantime takes beside its run time.
 const BACKFILL_SLACK: Micros = 10 * SECOND;
 /// A job within its guarantee waits so long for room before others make it.
@@ -638,8 +640,10 @@
             return;
         }
         let Some(job) = self.jobs.get(id) else { return };
-        if v.now < job.wait_since + HOLD_AFTER {
-            self.wake.insert((job.wait_since + HOLD_AFTER, id.clone()));
+        // Since its submission: it may have been moved here.
+        let age = v.wall.saturating_sub(job.spec.submitted);
+        if age < HOLD_AFTER {
+            self.wake.insert((v.now + HOLD_AFTER - age, id.clone()));
             return;
         }
         let n = job.mine.len() as u64;
