--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -193,7 +193,7 @@
     match rkyv::from_bytes::<Message, rkyv::rancor::Error>(&aligned) {
         Ok(m) => Some(m),
         Err(e) => {
-            log::info!("mesh: message: can't be read: {e}");
+            log::debug!("mesh: message: can't be read: {e}");
             None
         }
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -112,6 +112,8 @@
     short: BTreeMap<String, u64>,
     mesh_next: Micros,
     mesh_count: u32,
+    /// When to say next that messages can't be read.
+    unread_next: Micros,
     aims: Aims,
     aims_next: Micros,
     now: Micros,
@@ -208,6 +210,7 @@
             short: BTreeMap::new(),
             mesh_next: 0,
             mesh_count: 0,
+            unread_next: 0,
             aims: Aims::new(&settings.objectives, &settings.operator),
             aims_next: 0,
             now: 0,
@@ -265,7 +268,13 @@
                     self.reactor.reply(conn, &page);
                 }
                 Some(m) => self.on_message(m),
-                None => {}
+                None => {
+                    // One line for a peer of another version, not one a message.
+                    if self.now >= self.unread_next {
+                        self.unread_next = self.now + 60 * SECOND;
+                        log::warn!("node: mesh: messages of another form are passed over");
+                    }
+                }
             },
         }
     }
@@ -826,7 +835,9 @@
                 if fresh {
                     p.well_since.get_or_insert(now);
                 }
-                for r in regions {
+                // One with other settings may name regions that we don't have.
+                let known = self.settings.regions();
+                for r in regions.into_iter().filter(|r| known.contains(&r.region)) {
                     let newer = self
                         .reports
                         .get(&r.region)
