Rent to flow and backlog, close above headroom; lone tasks go by their aims again

Cause: one target for renting and closing made machines come and go with each burst, and gangs of one task went by age, so that under overload all were late.

--- a/src/leader.rs
+++ b/src/leader.rs
@@ -64,8 +64,10 @@
     /// The work that came in lately, and how much of what jobs' owners say is true.
     inflow: Inflow,
     truth: f64,
-    /// Processors that should be there for such work.
+    /// Processors below which more are rented for such work that waits, and above
+    /// which some are closed.
     target: f64,
+    keep: f64,
     /// What a job of such work takes, smoothed over jobs.
     job_size: f64,
     out: Vec<Effect>,
@@ -227,6 +229,7 @@
             inflow: Inflow::new(v.now),
             truth: 1.0,
             target: 0.0,
+            keep: 0.0,
             job_size: 0.0,
             out: Vec::new(),
         };
@@ -959,7 +962,10 @@
             self.truth += (ratio - self.truth) * 0.03;
         }
         let flow = came.map_or(self.usual, |c| c * self.truth);
-        self.target = flow * (1.0 + v.settings.operator.headroom) + self.job_size + backlog;
+        // More stays than would be rented, so that machines don't come and go with
+        // every burst: each that goes cost a minute at least.
+        self.target = flow + backlog;
+        self.keep = flow * (1.0 + v.settings.operator.headroom) + self.job_size + backlog;
     }
 
     /// Has machines closed that all regions together can do without: of those
@@ -970,7 +976,7 @@
         }
         let open = || self.rooms.iter().filter(|r| r.spot || r.kept.is_none());
         let cap: f64 = open().map(|r| r.processors(false)).sum();
-        let spare = cap - self.target * 1.05;
+        let spare = cap - self.keep;
         let mut best: Option<(f64, &Room)> = None;
         for r in open().filter(|r| r.live && (r.cap.0 as f64) < spare) {
             let Some(f) = v.replica.flavors.get(&r.flavor).map(|f| &f.value) else {
@@ -994,7 +1000,7 @@
             r.flavor,
             r.region,
             cap / 1e6,
-            self.target / 1e6
+            self.keep / 1e6
         );
         self.out.push(Effect::Tell(Message::Close {
             region: r.region.clone(),
--- a/src/region/placing.rs
+++ b/src/region/placing.rs
@@ -135,7 +135,7 @@
 /// A job within its guarantee waits so long for room before others make it.
 const PREEMPT_AFTER: Micros = 3 * SECOND;
 /// Whatever has waited so long since its submission goes by age from then on.
-const PATIENCE: Micros = 150 * SECOND;
+const PATIENCE: Micros = 600 * SECOND;
 const AHEAD: usize = 3;
 
 /// How long a type is kept clear for jobs that fit nowhere else, after the last
@@ -190,8 +190,10 @@
             .get(&s.team)
             .is_some_and(|last| (s.submitted, &**id) <= (last.0, last.1.as_str()));
         let first = (!guaranteed, std::cmp::Reverse(s.rank), precedence);
+        // One task needs no others' places: it goes by its aims like the rest.
+        let together = s.kind == Kind::Gang && s.tasks > 1;
         let aged = s.submitted + PATIENCE;
-        if s.kind == Kind::Gang || v.wall >= aged {
+        if together || v.wall >= aged {
             return (
                 (first, (false, false, s.submitted), s.submitted, id.clone()),
                 None,
