--- a/src/region/placing.rs
+++ b/src/region/placing.rs
@@ -133,7 +133,7 @@
 /// What a task that runs in the meantime takes beside its run time.
 const BACKFILL_SLACK: Micros = 10 * SECOND;
 /// A job within its guarantee waits so long for room before others make it.
-const PREEMPT_AFTER: Micros = 3 * SECOND;
+const PREEMPT_AFTER: Micros = 6 * SECOND;
 /// Whatever has waited so long since its submission goes by age from then on.
 const PATIENCE: Micros = 600 * SECOND;
 const AHEAD: usize = 3;
@@ -749,6 +749,15 @@
         }
     }
 
+    /// Whether a task has most of its run before it, or can save: else it is soon
+    /// through by itself, and to stop it would waste more than it gains.
+    fn far_from_done(&self, id: &JobId, h: &Held, v: &View<'_>) -> bool {
+        let ran = h.ran_at.map_or(0, |at| v.now.saturating_sub(at));
+        self.jobs
+            .get(id)
+            .is_some_and(|j| j.spec.checkpoint > 0 || ran < j.spec.estimate / 3)
+    }
+
     fn make_room(&mut self, id: &JobId, guaranteed: bool, v: &View<'_>) -> bool {
         const MOST: u64 = 16;
         let Some(job) = self.jobs.get(id) else {
@@ -797,7 +806,7 @@
                     let mut cost = 0;
                     let mut stops = Vec::new();
                     for ((other, _), h) in &m.tasks {
-                        if may_stop(other, self) {
+                        if may_stop(other, self) && self.far_from_done(other, h, v) {
                             room = list::sum(room, h.room());
                             cost += v.now.saturating_sub(h.ran_at.unwrap_or(v.now));
                             stops.push(other.clone());
