--- a/src/node.rs
+++ b/src/node.rs
@@ -540,6 +540,25 @@
                 continue;
             }
             let home = name == self.settings.name;
+            // Kept by our former life for another: guards against taking it only to
+            // hand it back, and all its machines being accounted for twice. Its home
+            // takes it at once if it is there, any other a moment later.
+            let left = rec
+                .as_ref()
+                .is_some_and(|r| r.owner == self.settings.name && r.run != self.run);
+            if left && !home && !self.retake.contains(&name) {
+                log::info!("node: region {name}: left by our former life, given up");
+                self.claims.insert(name.clone(), Claim::Committing);
+                let key = Key::Region(name.clone());
+                let txn = Txn {
+                    when: vec![(key.clone(), mark)],
+                    apply: vec![(key, None)],
+                    lease: None,
+                };
+                let t = self.registry.commit(txn, Urgency::First, None);
+                self.tickets.insert(t, Ticket::Hand { region: name });
+                continue;
+            }
             let take = match &rec {
                 // Our own former process is dead, or we want a higher token.
                 Some(r) => r.owner == self.settings.name,
