--- a/src/region/mod.rs
+++ b/src/region/mod.rs
@@ -1444,4 +1444,212 @@
         let order: Vec<String> = r.report(&v).waits.into_iter().map(|w| w.job).collect();
         assert_eq!(order, ["req-1", "req-4", "req-3", "req-2", "req-5"]);
     }
+
+    /// Machines that do as they are told, for tests that play a while: what runs
+    /// where, and until when.
+    struct Shop {
+        f: Fixture,
+        r: Region,
+        tally: u64,
+        on: BTreeMap<String, BTreeMap<(String, u32, u64), Micros>>,
+        began: BTreeMap<(String, u32), Micros>,
+    }
+
+    impl Shop {
+        fn new(machines: usize) -> Self {
+            let mut f = Fixture::new();
+            let names: Vec<String> = (0..machines).map(|i| format!("m-{i}")).collect();
+            for m in &names {
+                f.machine(m);
+            }
+            // Room enough in the limits: these tests are not about them.
+            for t in &mut f.settings.teams {
+                t.limit = t.limit.times(100);
+            }
+            let r = f.take(7, SECOND);
+            Shop {
+                f,
+                r,
+                tally: 0,
+                on: names.into_iter().map(|m| (m, BTreeMap::new())).collect(),
+                began: BTreeMap::new(),
+            }
+        }
+
+        fn submit(&mut self, id: &str, kind: &str, team: &str, tasks: u32, cpus: u64, now: Micros) {
+            let v = json!({"st":"o","b":[[0,tasks,"t-0"]],"j":{"c":"x","t":team,"k":kind,"r":"1","n":tasks,
+                "u":cpus,"m":1_000_000,"i":"img","e":4_000_000,"a":now}});
+            self.f.put(&format!("st/job/{id}"), v);
+            self.r.on_job(id, &self.f.view(now), false);
+        }
+
+        /// A second: what is through ends, each machine reports and does what it is
+        /// told. `deaf` is told nothing.
+        fn second(&mut self, now: Micros, deaf: Option<&str>) {
+            self.tally += 1;
+            for (m, tasks) in &mut self.on {
+                let mut rep = report(m, self.tally, 7, &[]);
+                for ((job, n, attempt), ends) in tasks.iter() {
+                    rep.tasks.push(ReportedTask {
+                        job: Rc::from(job.as_str()),
+                        task: *n,
+                        attempt: *attempt,
+                        stage: if *ends <= now {
+                            OnMachine::Ended(End::Done)
+                        } else {
+                            OnMachine::Running
+                        },
+                    });
+                }
+                tasks.retain(|_, ends| *ends > now);
+                let v = self.f.view(now);
+                let Verdict::Commands(commands) = self.r.on_report(&rep, &v) else {
+                    panic!("{m}: no answer");
+                };
+                if deaf == Some(m) {
+                    continue;
+                }
+                for c in commands {
+                    if let Command::Start(j, n, a) = c {
+                        self.began.entry((j.to_string(), n)).or_insert(now);
+                        tasks.insert((j.to_string(), n, a), now + 4 * SECOND);
+                    }
+                }
+            }
+            self.r.tick(&self.f.view(now));
+            for e in self.r.take_effects() {
+                let Effect::Commit(txn, _, purpose) = e else {
+                    continue;
+                };
+                for (k, v) in txn.apply {
+                    match v {
+                        Some(v) => self.f.put(&k.text(), v),
+                        None => drop(self.f.replica.event(&k.text(), None, self.f.rev + 1)),
+                    }
+                    if let Key::Job(id) = &k {
+                        self.r.on_job(id, &self.f.view(now), false);
+                    }
+                }
+                self.r.concluded(purpose, true, &self.f.view(now));
+            }
+        }
+    }
+
+    /// Small work that never lets a whole set of machines fall free by itself does
+    /// not keep a large gang from its places: they are held for it in time.
+    #[test]
+    fn a_large_gang_is_not_starved() {
+        let mut shop = Shop::new(4);
+        let mut began = None;
+        for s in 2..240u64 {
+            let now = s * SECOND;
+            // More small work than goes in, of the same rank and team.
+            for i in 0..3 {
+                shop.submit(
+                    &format!("req-{}", s * 10 + i),
+                    "a",
+                    "red",
+                    1,
+                    2_000_000,
+                    now,
+                );
+            }
+            if s == 10 {
+                shop.submit("req-1", "g", "red", 4, 4_000_000, now);
+            }
+            shop.second(now, None);
+            if shop.began.keys().filter(|(j, _)| j == "req-1").count() == 4 {
+                began = Some(s);
+                break;
+            }
+        }
+        let began = began.expect("never began");
+        assert!(began < 10 + 120, "began after {} s", began - 10);
+    }
+
+    /// A team that floods the region with work gets what is left: the others'
+    /// work within their guarantees starts at once.
+    #[test]
+    fn a_flood_leaves_others_their_guarantee() {
+        let mut shop = Shop::new(4);
+        for i in 0..200 {
+            shop.submit(
+                &format!("req-{}", 1000 + i),
+                "a",
+                "red",
+                4,
+                1_000_000,
+                SECOND + i,
+            );
+        }
+        let mut waits = Vec::new();
+        for s in 2..60u64 {
+            let now = s * SECOND;
+            if s % 10 == 0 {
+                shop.submit(&format!("req-{s}"), "a", "blue", 4, 1_000_000, now);
+            }
+            shop.second(now, None);
+        }
+        for s in (10..50u64).step_by(10) {
+            for n in 0..4 {
+                let at = shop.began.get(&(format!("req-{s}"), n)).copied();
+                waits.push(at.unwrap_or(Micros::MAX).saturating_sub(s * SECOND));
+            }
+        }
+        assert!(waits.iter().all(|w| *w <= 6 * SECOND), "{waits:?}");
+        assert!(
+            shop.began.keys().any(|(j, _)| j.len() == 8),
+            "the flood runs, too"
+        );
+    }
+
+    /// A machine that carries out nothing gets no more work after two tries; what it
+    /// was meant for runs elsewhere, and it serves again once its session stands.
+    #[test]
+    fn a_deaf_machine_draws_no_work() {
+        let mut shop = Shop::new(2);
+        shop.submit("req-1", "a", "red", 4, 2_000_000, SECOND);
+        for s in 2..8 {
+            shop.second(s * SECOND, Some("m-0"));
+        }
+        assert_eq!(shop.r.machines["m-0"].listed, Listed::Out);
+        assert!(shop.r.machines["m-0"].tasks.is_empty());
+        for s in 8..16 {
+            shop.second(s * SECOND, Some("m-0"));
+        }
+        assert_eq!(shop.began.len(), 4, "all run on the other");
+        for s in 16..40 {
+            shop.second(s * SECOND, None);
+        }
+        assert!(matches!(shop.r.machines["m-0"].listed, Listed::Open { .. }));
+    }
+
+    /// Copies from a former owner's time, however many, neither settle a region nor
+    /// put off the moment from which a machine counts as empty.
+    #[test]
+    fn copies_prove_nothing() {
+        let mut f = Fixture::new();
+        f.machine("m-1");
+        f.job("req-1", "red", "x", "1", 1, 0);
+        f.share("red", 8_000_000);
+        let mut r = f.take(7, SECOND);
+        let mut answered = 0;
+        for s in 2..30u64 {
+            let v = f.view(s * SECOND);
+            let got = r.on_report(&report("m-1", s, 6, &[]), &v);
+            if !r.settled() {
+                answered += u32::from(matches!(got, Verdict::Commands(_)));
+            }
+            r.tick(&v);
+            assert!(!r.settled() || s > 17, "settled after {s} s");
+        }
+        assert_eq!(answered, 4);
+        assert!(r.settled(), "its lease is over since the last answer");
+        // Nothing of the session that is over counts any more.
+        let late = report("m-1", 99, 7, &[("req-1", 0, 5)]);
+        let v = f.view(31 * SECOND);
+        r.on_report(&report("m-1", 40, 7, &[]), &v);
+        r.clear_machine("m-1", &v);
+        assert_eq!(r.on_report(&late, &v), Verdict::Stale);
+    }
 }
