--- a/src/leader.rs
+++ b/src/leader.rs
@@ -541,7 +541,7 @@
             };
             let parts = &rec.value.parts;
             let given_up = parts.iter().any(|p| p.2.is_empty());
-            let (mut ready, mut idle, mut stuck, mut long) = (true, true, false, 0);
+            let (mut ready, mut idle, mut stuck) = (true, true, false);
             for Part(a, b, region) in parts {
                 let Some((r, _)) = reports.get(region) else {
                     (ready, idle) = (false, false);
@@ -553,8 +553,7 @@
                 ready &= has_room;
                 idle &= has_room || waits;
                 stuck |= wait.is_some_and(|w| w.stuck);
-                long = long.max(wait.map_or(0, |w| w.since_us));
-                if waits && (given_up || w_too_long(wait.map_or(0, |w| w.since_us))) {
+                if waits && (given_up || wait.is_some_and(|w| w.since_us > PART_PATIENCE)) {
                     self.out.push(Effect::Tell(Message::Move {
                         job: id.clone(),
                         from: region.clone(),
@@ -575,13 +574,12 @@
                     }));
                 }
             } else if idle && stuck {
-                let next = (*attempt, zone.clone());
-                changes.push((id.clone(), rec, next));
+                changes.push((id.clone(), rec, zone.clone()));
             }
         }
         let changes = changes
             .into_iter()
-            .map(|(id, rec, (_, zone))| {
+            .map(|(id, rec, zone)| {
                 let joint = Some(Joint(self.next_attempt(), zone));
                 log::info!("leader: {id}: tried in vain, another attempt");
                 let new = JobRecord {
@@ -1312,11 +1310,8 @@
 /// A job for which there is room in its region starts within this time.
 const DOUBTFUL: Micros = 25 * SECOND;
 
-/// A part of a gang over several regions has waited so long that it is better
-/// bound anew.
-fn w_too_long(since: Micros) -> bool {
-    since > 60 * SECOND
-}
+/// A part of a gang over several regions that waits longer is better bound anew.
+const PART_PATIENCE: Micros = 60 * SECOND;
 
 /// How soon a job's waiting tasks should be under way: half of the time that
 /// its aims leave for waiting.
--- a/src/node.rs
+++ b/src/node.rs
@@ -548,15 +548,7 @@
                 .is_some_and(|r| r.owner == self.settings.name && r.run != self.run);
             if left && !home && !self.retake.contains(&name) {
                 log::info!("node: region {name}: left by our former life, given up");
-                self.claims.insert(name.clone(), Claim::Committing);
-                let key = Key::Region(name.clone());
-                let txn = Txn {
-                    when: vec![(key.clone(), mark)],
-                    apply: vec![(key, None)],
-                    lease: None,
-                };
-                let t = self.registry.commit(txn, Urgency::First, None);
-                self.tickets.insert(t, Ticket::Hand { region: name });
+                self.give_up(name, mark);
                 continue;
             }
             let take = match &rec {
@@ -624,6 +616,11 @@
         log::info!("node: region {name}: handed back to its home");
         // From here on nothing is commanded for it, whatever becomes of the commit.
         self.regions.remove(&name);
+        self.give_up(name, mark);
+    }
+
+    /// Deletes a region's record as it stands, so that its home may take it.
+    fn give_up(&mut self, name: String, mark: u64) {
         self.claims.insert(name.clone(), Claim::Committing);
         let key = Key::Region(name.clone());
         let txn = Txn {
--- a/src/region/mod.rs
+++ b/src/region/mod.rs
@@ -508,11 +508,7 @@
         job.pending = RangeSet::default();
         let out: Vec<(u32, Rc<str>)> = job.out.iter().map(|(n, m)| (*n, m.clone())).collect();
         for (n, m) in out {
-            let held = self
-                .machines
-                .get_mut(&m)
-                .and_then(|m| m.tasks.get_mut(&(id.clone(), n)));
-            match held {
+            match self.held_mut(id, n, &m) {
                 Some(h) if h.place != Place::Assigned => h.stop = Some(0),
                 _ => self.shift(id, n, Place::Done, None, v.now),
             }
@@ -522,6 +518,12 @@
         self.after_out(id);
     }
 
+    /// A task as it stands on (or is meant for) a machine.
+    fn held_mut(&mut self, id: &JobId, n: u32, machine: &str) -> Option<&mut Held> {
+        let m = self.machines.get_mut(machine)?;
+        m.tasks.get_mut(&(id.clone(), n))
+    }
+
     /// The only way in which a task changes its place. `at` names machine and
     /// attempt for places on a machine.
     fn shift(&mut self, id: &JobId, n: u32, to: Place, at: Option<(&str, u64)>, now: Micros) {
@@ -668,11 +670,7 @@
         job.breaking = true;
         let out: Vec<(u32, Rc<str>)> = job.out.iter().map(|(n, m)| (*n, m.clone())).collect();
         for (n, m) in out {
-            let held = self
-                .machines
-                .get_mut(&m)
-                .and_then(|m| m.tasks.get_mut(&(id.clone(), n)));
-            match held {
+            match self.held_mut(id, n, &m) {
                 Some(h) if h.place == Place::Assigned => {
                     self.shift(id, n, Place::Waiting, None, v.now)
                 }
--- a/src/region/placing.rs
+++ b/src/region/placing.rs
@@ -624,11 +624,7 @@
             j.tried = attempt;
         }
         for (n, name) in out {
-            let held = self
-                .machines
-                .get_mut(&name)
-                .and_then(|m| m.tasks.get_mut(&(id.clone(), n)));
-            if let Some(h) = held {
+            if let Some(h) = self.held_mut(&id, n, &name) {
                 h.wait_go = false;
                 h.since = v.now;
             }
--- a/src/registry/replica.rs
+++ b/src/registry/replica.rs
@@ -387,12 +387,6 @@
             Some((id, r, r.open()?))
         })
     }
-
-    /// The owner on record of a machine's region.
-    pub fn owner_of(&self, machine: &str) -> Option<&RegionRecord> {
-        let region = &self.machines.get(machine)?.value.region;
-        self.regions.get(region).map(|r| &r.value)
-    }
 }
 
 #[cfg(test)]
