--- a/src/leader.rs
+++ b/src/leader.rs
@@ -994,11 +994,14 @@
             .min((machines / 20.0).max(1.0)) as u32;
         self.next_close = v.now + 500 * MILLI;
         log::debug!(
-            "leader: {count} {} in {} not needed, {:.0} processors up, {:.0} enough",
+            "leader: {count} {} in {} not needed, {:.0} processors up, {:.0} enough, {:.0} in use, {:.0} asked for, of which {:.2} true",
             r.flavor,
             r.region,
             cap / 1e6,
-            self.keep / 1e6
+            self.keep / 1e6,
+            self.usual / 1e6,
+            self.inflow.rate(v.now).unwrap_or(0.0) / 1e6,
+            self.truth
         );
         self.out.push(Effect::Tell(Message::Close {
             region: r.region.clone(),
--- a/src/region/mod.rs
+++ b/src/region/mod.rs
@@ -65,9 +65,11 @@
     fresh: bool,
     /// Of a gang over several regions: not before all parts have room.
     wait_go: bool,
+    /// Its machine was not known to have the image.
+    brings: bool,
     /// Must go: with this grace.
     stop: Option<Micros>,
-    /// When it was sent, or found.
+    /// When it was meant for the machine, sent, or found.
     since: Micros,
     /// When it was first reported as running.
     ran_at: Option<Micros>,
@@ -323,6 +325,8 @@
     wake: BTreeSet<(Micros, JobId)>,
     /// Jobs with results that are not on record.
     unwritten: BTreeSet<JobId>,
+    /// Tasks meant for a machine that has not reported since, oldest first.
+    unsent: BTreeSet<(Micros, JobId, u32)>,
     hold: Option<Hold>,
     shares: BTreeMap<Rc<str>, Share>,
     seq: u64,
@@ -372,6 +376,7 @@
             ready: BTreeMap::new(),
             wake: BTreeSet::new(),
             unwritten: BTreeSet::new(),
+            unsent: BTreeSet::new(),
             hold: None,
             shares: BTreeMap::new(),
             seq: 0,
@@ -541,13 +546,18 @@
                 if !h.narrow {
                     m.wide = list::less(m.wide, h.room());
                 }
-                if m.tasks.is_empty() {
+                if m.tasks.is_empty() && h.place != Place::Assigned {
                     m.idle_since = now;
                 }
                 Some(h)
             });
             if let Some(h) = held {
-                if h.place != Place::Assigned {
+                if h.place == Place::Assigned {
+                    self.unsent.remove(&(h.since, id.clone(), n));
+                    if h.brings {
+                        self.never_fetched(at, id);
+                    }
+                } else {
                     log::debug!(
                         "region: {id}/{n}: off {at}, {to:?} after {:.1} s, of these {:.1} s before running",
                         to_secs(now - h.since),
@@ -597,6 +607,7 @@
                 let Some(m) = self.machines.get_mut(machine) else {
                     return;
                 };
+                let brings = !m.images.contains(&job.spec.image);
                 let h = Held {
                     attempt,
                     place: to,
@@ -606,6 +617,7 @@
                     narrow: job.narrow_to.is_some(),
                     fresh: to == Place::Assigned,
                     wait_go: to == Place::Assigned && job.joint.is_some(),
+                    brings,
                     stop: job.over.then_some(0),
                     since: now,
                     ran_at: None,
@@ -614,9 +626,12 @@
                 if !h.narrow {
                     m.wide = list::sum(m.wide, h.room());
                 }
-                if !m.images.contains(&job.spec.image) {
+                if brings {
                     m.images.insert(job.spec.image.clone());
                 }
+                if to == Place::Assigned && !h.wait_go {
+                    self.unsent.insert((now, id.clone(), n));
+                }
                 let s = self.shares.entry(h.team.clone()).or_default();
                 s.used = s.used.plus(h.need);
                 if h.fresh {
@@ -767,6 +782,7 @@
             self.try_settle(v);
         }
         self.place(v);
+        self.draw(&name, v);
         self.command(&name, v, &mut commands);
         Verdict::Commands(commands)
     }
@@ -1000,6 +1016,7 @@
                 break;
             }
             if h.place == Place::Assigned && h.stop.is_none() && !h.wait_go {
+                self.unsent.remove(&(h.since, id.clone(), *n));
                 h.place = Place::Sent;
                 h.since = v.now;
                 log::debug!(
@@ -1394,6 +1411,44 @@
         }
     }
 
+    /// A task meant for a machine that has yet to report is begun by another that
+    /// reports before, if that holds no more tasks or the wait was long; once.
+    #[test]
+    fn unsent_tasks_are_drawn() {
+        for (busy, at, drawn) in [
+            (false, 3200, true),
+            // Holds more: only after an eighth of an interval.
+            (true, 3200, false),
+            (true, 3500, true),
+            // The one it is meant for is due.
+            (false, 5300, false),
+        ] {
+            let mut f = Fixture::new();
+            f.machine("m-1");
+            f.machine("m-2");
+            f.share("red", 8_000_000);
+            if busy {
+                f.job("req-1", "red", "x", "1", 1, 0);
+            }
+            let mut r = f.take(7, SECOND);
+            let had = [("req-1", 0, 7 << 24)];
+            let had = if busy { &had[..] } else { &[] };
+            r.on_report(&report("m-2", 1, 7, had), &f.view(2 * SECOND));
+            r.on_report(&report("m-1", 1, 7, &[]), &f.view(2 * SECOND));
+            f.job("req-2", "red", "x", "1", 1, 0);
+            r.on_job("req-2", &f.view(3 * SECOND), false);
+            r.place(&f.view(3 * SECOND));
+            let first = r.on_report(&report("m-2", 2, 7, had), &f.view(at * MILLI));
+            let then = r.on_report(&report("m-1", 2, 7, &[]), &f.view(at * MILLI + 1));
+            assert_eq!(
+                (starts(&first), starts(&then)),
+                (drawn.into(), (!drawn).into()),
+                "{busy} {at}"
+            );
+            assert!(r.unsent.is_empty());
+        }
+    }
+
     /// A share is asked for before there is room, so that a machine that falls
     /// free doesn't wait for it.
     #[test]
--- a/src/region/placing.rs
+++ b/src/region/placing.rs
@@ -371,6 +371,86 @@
         )
     }
 
+    /// Gives a machine whose report is being answered the tasks that are meant for
+    /// others and would begin later there. Starts go in answers to reports alone, so
+    /// a task meant for the machine with the fewest tasks may wait a whole interval
+    /// for it; one that holds no more takes it at once, any other after a while.
+    /// Nothing was sent yet, so it is still sent once.
+    pub(super) fn draw(&mut self, name: &Rc<str>, v: &View<'_>) {
+        const LOOK: usize = 64;
+        if self.unsent.is_empty() {
+            return;
+        }
+        let patience = v.settings.report / 8;
+        let todo: Vec<(Micros, JobId, u32)> = self.unsent.iter().take(LOOK).cloned().collect();
+        for (since, id, n) in todo {
+            let (Some(job), Some(m)) = (self.jobs.get(&id), self.machines.get(name)) else {
+                continue;
+            };
+            let s = &job.spec;
+            let Listed::Open { free, wide, .. } = m.listed else {
+                return;
+            };
+            let room = if job.narrow_to.is_none() { wide } else { free };
+            let Some(other) = job.out.get(&n).filter(|o| *o != name) else {
+                continue;
+            };
+            let Some(o) = self.machines.get(other) else {
+                continue;
+            };
+            let Some(h) = o.tasks.get(&(id.clone(), n)) else {
+                continue;
+            };
+            // Where a job's tasks are together is settled; only the machine changes.
+            let bound = s.kind == Kind::Gang || s.one_zone || s.spread;
+            let fewer = m.tasks.len() < o.tasks.len();
+            if h.stop.is_some()
+                || !fits(room, s)
+                || job.failed_on.contains(name)
+                || (bound && m.group != o.group)
+                || (!fewer && v.now < since + patience)
+                || !self.allowed(&id, job, &m.group, None, &BTreeSet::new(), v)
+            {
+                continue;
+            }
+            let fetch = |g: &GroupKey| {
+                let speed = v.replica.flavors.get(&*g.0).map_or(0, |f| f.value.fetch);
+                (s.image_size * SECOND).checked_div(speed).unwrap_or(0)
+            };
+            let here = if m.images.contains(&s.image) {
+                0
+            } else {
+                fetch(&m.group)
+            };
+            let report = (o.heard_at + v.settings.report * 9 / 8).saturating_sub(v.now);
+            let there = report + if h.brings { fetch(&o.group) } else { 0 };
+            if here + 300 * MILLI >= there {
+                continue;
+            }
+            let attempt = h.attempt;
+            log::debug!("region: {id}/{n}: meant for {other}, drawn by {name}");
+            self.shift(&id, n, Place::Assigned, Some((name, attempt)), v.now);
+        }
+    }
+
+    /// A task that was to bring its image to a machine doesn't go there: unless
+    /// another task of its job does, the machine won't have it.
+    pub(super) fn never_fetched(&mut self, machine: &str, id: &JobId) {
+        let Some(image) = self.jobs.get(id).map(|j| &j.spec.image) else {
+            return;
+        };
+        if let Some(m) = self.machines.get_mut(machine) {
+            let first = (id.clone(), 0);
+            let mut mates = m.tasks.range_mut(first..).take_while(|(k, _)| k.0 == *id);
+            match mates.next() {
+                Some((_, mate)) => mate.brings = true,
+                None => {
+                    m.images.remove(image);
+                }
+            }
+        }
+    }
+
     /// Whether a job's tasks may go to machines of a group just now.
     fn allowed(
         &self,
