A gang over several regions ends with its first result, whichever region saw it

The job stayed open for ever. A gang's tasks complete together, so one result is enough for its end. Test one_result_ends_a_gang, seen failing without the change.

--- a/src/region/mod.rs
+++ b/src/region/mod.rs
@@ -206,6 +206,14 @@
         }
     }
 
+    /// Whether so many results are all there will be. A gang's tasks complete
+    /// together: one is enough. Guards against a gang over several regions of which
+    /// one part's result is known and the other's machine is gone: that part would
+    /// wait for ever for mates that are done.
+    fn complete(&self, results: u32) -> bool {
+        results >= self.spec.tasks || (self.spec.kind == Kind::Gang && results > 0)
+    }
+
     /// All of a gang's tasks here wait, and under a joint attempt that was tried:
     /// only another attempt lets it start.
     fn stuck(&self) -> bool {
@@ -1411,6 +1419,38 @@
         }
     }
 
+    /// One result of a gang ends it, whichever region saw it: its tasks complete
+    /// together, and the machines of the others may be gone. Of an array each counts.
+    #[test]
+    fn one_result_ends_a_gang() {
+        for (kind, elsewhere, ends) in [
+            ("g", false, true),
+            ("g", true, true),
+            ("a", false, false),
+            ("a", true, false),
+        ] {
+            let mut f = Fixture::new();
+            f.machine("m-1");
+            let v = json!({"st":"o","b":[[0,2,""],[2,3,"t-0"]],"g":[9,null],"j":{"c":"x","t":"red","k":kind,
+                "r":"1","n":3,"u":2_000_000,"m":1_000_000,"i":"img","e":5_000_000,"a":1}});
+            f.put("st/job/req-1", v);
+            let mut r = f.take(7, SECOND);
+            if elsewhere {
+                f.put("st/progress/req-1/t-1/0", json!("1"));
+                r.on_progress("req-1", &f.view(2 * SECOND));
+            } else {
+                let mut rep = report("m-1", 1, 7, &[("req-1", 2, 9)]);
+                rep.tasks[0].stage = OnMachine::Ended(End::Done);
+                r.on_report(&rep, &f.view(2 * SECOND));
+            }
+            let finished = r
+                .take_effects()
+                .into_iter()
+                .any(|e| matches!(e, Effect::Commit(_, _, Purpose::Finish(id)) if &*id == "req-1"));
+            assert_eq!(finished, ends, "{kind} {elsewhere}");
+        }
+    }
+
     /// A task meant for a machine that has yet to report is begun by another that
     /// reports before, if that holds no more tasks or the wait was long; once.
     #[test]
--- a/src/region/records.rs
+++ b/src/region/records.rs
@@ -115,7 +115,7 @@
         let mut all = v.replica.done_tasks(id);
         all.add_all(&job.pending);
         let job_mark = v.replica.mark(&Key::Job(id.to_string()));
-        let complete = all.len() >= job.spec.tasks;
+        let complete = job.complete(all.len());
         if complete {
             let mut apply = vec![(
                 Key::Job(id.to_string()),
@@ -215,7 +215,7 @@
         let Some((id, job)) = self.jobs.get_key_value(id) else {
             return;
         };
-        if v.replica.done_tasks(id).len() + job.pending.len() >= job.spec.tasks {
+        if job.complete(v.replica.done_tasks(id).len() + job.pending.len()) {
             let id = id.clone();
             self.write_progress(&id, v);
         }
