--- a/src/leader.rs
+++ b/src/leader.rs
@@ -926,7 +926,7 @@
                 });
             }
         }
-        self.look_at_demand(v, &waits);
+        self.look_at_demand(v, &waits, reports);
         self.close_surplus(v);
         let mut rooms = self.rooms.clone();
         self.move_waiting(v, &mut waits, &mut rooms);
@@ -939,7 +939,14 @@
     /// Follows how many processors work that fits many types takes, and what should
     /// be there for it: what is usual and some more, and enough to get through what
     /// waits within the horizon.
-    fn look_at_demand(&mut self, v: &View<'_>, waits: &[Wait]) {
+    fn look_at_demand(&mut self, v: &View<'_>, waits: &[Wait], reports: &Reports) {
+        // Owners' estimates may be off by half, all in one direction: what finished
+        // lately tells. Little of it says nothing.
+        let sum = |of: fn(&RegionReport) -> f64| reports.values().map(|(r, _)| of(r)).sum::<f64>();
+        let (said, took) = (sum(|r| r.said), sum(|r| r.took));
+        if said > 20.0 * SECOND as f64 * self.job_size {
+            self.truth = (took / said).clamp(0.3, 3.0);
+        }
         let wide = || self.rooms.iter().filter(|r| r.processors(false) > 0.0);
         let used: f64 = wide()
             .filter(|r| r.live && (r.spot || r.kept.is_none()))
@@ -949,16 +956,12 @@
         let mut backlog = 0.0;
         for w in waits.iter().filter(|w| w.narrow.is_none() && !w.whole()) {
             // No more than all at once.
-            let part = w.spec.estimate.max(SECOND) as f64 / horizon(&w.spec, v) as f64;
+            let span = self.truth * w.spec.estimate.max(SECOND) as f64;
+            let part = span / horizon(&w.spec, v) as f64;
             backlog += (w.count * w.spec.cpus) as f64 * part.min(1.0);
         }
-        // What came in lately is what will be needed, if what jobs take is as their
-        // owners say; how far it isn't shows when nothing waits.
+        // What came in lately is what will be needed.
         let came = self.inflow.rate(v.now);
-        if let Some(came) = came.filter(|c| *c > 0.0 && backlog < self.usual * 0.1) {
-            let ratio = (self.usual / came).clamp(0.4, 1.5);
-            self.truth += (ratio - self.truth) * 0.03;
-        }
         let flow = came.map_or(self.usual, |c| c * self.truth);
         // More stays than would be rented, so that machines don't come and go with
         // every burst: each that goes cost a minute at least.
@@ -974,42 +977,53 @@
         }
         let open = || self.rooms.iter().filter(|r| r.spot || r.kept.is_none());
         let cap: f64 = open().map(|r| r.processors(false)).sum();
-        let spare = cap - self.keep;
-        let mut best: Option<(f64, &Room)> = None;
-        for r in open().filter(|r| r.live && (r.cap.0 as f64) < spare) {
-            let Some(f) = v.replica.flavors.get(&r.flavor).map(|f| &f.value) else {
-                continue;
-            };
-            let price = if r.spot { f.spot_price } else { f.price } as f64 / f.cpus.max(1) as f64;
-            let vain = price * (0.5 + r.free.0 as f64 / r.cap.0.max(1) as f64);
-            if best.is_none_or(|(b, _)| vain > b) {
-                best = Some((vain, r));
-            }
-        }
-        let Some((_, r)) = best else { return };
+        let mut spare = cap - self.keep;
+        let mut vain: Vec<(f64, &Room)> = open()
+            .filter(|r| r.live)
+            .filter_map(|r| {
+                let f = &v.replica.flavors.get(&r.flavor)?.value;
+                let price = if r.spot { f.spot_price } else { f.price };
+                let price = price as f64 / f.cpus.max(1) as f64;
+                Some((price * (0.5 + r.free.0 as f64 / r.cap.0.max(1) as f64), r))
+            })
+            .collect();
+        vain.sort_by(|a, b| b.0.total_cmp(&a.0));
         // Some at a time, so that what follows from it is seen before the next.
         let machines: f64 = open().map(|r| r.all).sum();
-        let count = (spare / r.cap.0.max(1) as f64)
-            .min(r.all)
-            .min((machines / 20.0).max(1.0)) as u32;
+        let mut most = (machines / 20.0).max(1.0);
+        let mut closing: BTreeMap<(&str, &str, &str, bool), u32> = BTreeMap::new();
+        for (_, r) in vain {
+            let each = r.cap.0.max(1) as f64;
+            let count = (spare / each).floor().min(r.all).min(most.floor());
+            if count >= 1.0 {
+                spare -= count * each;
+                most -= count;
+                let kind = (&*r.region, &*r.flavor, &*r.zone, r.spot);
+                *closing.entry(kind).or_default() += count as u32;
+            }
+        }
+        if closing.is_empty() {
+            return;
+        }
         self.next_close = v.now + 500 * MILLI;
         log::debug!(
-            "leader: {count} {} in {} not needed, {:.0} processors up, {:.0} enough, {:.0} in use, {:.0} asked for, of which {:.2} true",
-            r.flavor,
-            r.region,
+            "leader: {} machines not needed, {:.0} processors up, {:.0} enough, {:.0} in use, {:.0} asked for, of which {:.2} true",
+            closing.values().sum::<u32>(),
             cap / 1e6,
             self.keep / 1e6,
             self.usual / 1e6,
             self.inflow.rate(v.now).unwrap_or(0.0) / 1e6,
             self.truth
         );
-        self.out.push(Effect::Tell(Message::Close {
-            region: r.region.clone(),
-            flavor: r.flavor.clone(),
-            zone: r.zone.clone(),
-            spot: r.spot,
-            count: count.max(1),
-        }));
+        for ((region, flavor, zone, spot), count) in closing {
+            self.out.push(Effect::Tell(Message::Close {
+                region: region.to_owned(),
+                flavor: flavor.to_owned(),
+                zone: zone.to_owned(),
+                spot,
+                count,
+            }));
+        }
     }
 
     /// Rebinds tasks that have found no room for a short while to the region
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -67,6 +67,11 @@
     pub short: Vec<(String, u64)>,
     /// Parts of gangs over several regions for which room is held, by attempt.
     pub ready: Vec<(String, u64)>,
+    /// Processors times time: what the owners of lately finished tasks that fit many
+    /// types had said, and what they took.
+    pub said: f64,
+    /// See `said`.
+    pub took: f64,
 }
 
 /// A region on the status page.
@@ -233,6 +238,8 @@
                 }],
                 short: vec![("red".into(), 5)],
                 ready: vec![("req-2".into(), 7)],
+                said: 1.5,
+                took: 0.5,
             }],
         }
     }
--- a/src/region/machines.rs
+++ b/src/region/machines.rs
@@ -661,7 +661,12 @@
         // that boot: beyond it, returning is the cheaper guess.
         // But of a type that is kept for some jobs no more wait than its largest gang
         // would take: those beyond are needed later than a new one would be up.
-        let mut patience = v.settings.operator.idle.unwrap_or(m.boot);
+        let m = self.machines.get(name)?;
+        let mut patience = v.settings.operator.idle.unwrap_or_else(|| {
+            // A cheap machine's idle time costs less than the dear ones that work
+            // would go to instead: those are to leave first.
+            (m.boot as f64 * self.cheaper(&m.group, v)) as Micros
+        });
         let group = self.list.groups.get(&m.group).filter(|g| g.kept.is_some());
         if group.is_some_and(|g| g.idle() > self.narrow.largest(&m.rec.flavor) as usize) {
             patience = patience.min(SPARE_PATIENCE);
@@ -678,6 +683,24 @@
         }))
     }
 
+    /// How many times as dear as this kind's the dearest processors open to all
+    /// work are.
+    fn cheaper(&self, key: &GroupKey, v: &View<'_>) -> f64 {
+        let price = |k: &GroupKey| {
+            let f = &v.replica.flavors.get(&*k.0)?.value;
+            let price = if k.2 { f.spot_price } else { f.price };
+            Some(price as f64 / f.cpus.max(1) as f64)
+        };
+        let open = self.list.groups.iter().filter(|(_, g)| g.up > 0);
+        let dear = open
+            .filter(|(_, g)| g.kept.is_none())
+            .filter_map(|(k, _)| price(k));
+        let dear = dear.fold(0.0, f64::max);
+        price(key)
+            .filter(|p| *p > 0.0)
+            .map_or(1.0, |p| (dear / p).clamp(1.0, 10.0))
+    }
+
     /// Whether waiting work may run on a machine.
     fn is_wanted(&self, name: &str) -> bool {
         const LOOK: usize = 20;
--- a/src/region/mod.rs
+++ b/src/region/mod.rs
@@ -223,6 +223,27 @@
     }
 }
 
+/// What finished tasks that fit many types took, and what their owners had said;
+/// what is older weighs less.
+#[derive(Debug, Default)]
+struct Measured {
+    said: f64,
+    took: f64,
+    at: Micros,
+}
+
+impl Measured {
+    /// How fast it forgets.
+    const SPAN: f64 = 90.0 * SECOND as f64;
+
+    fn add(&mut self, s: &JobSpec, took: Micros, now: Micros) {
+        let fade = (-(now.saturating_sub(self.at) as f64) / Self::SPAN).exp();
+        self.at = now;
+        self.said = self.said * fade + (s.cpus * s.estimate) as f64;
+        self.took = self.took * fade + (s.cpus * took) as f64;
+    }
+}
+
 /// What a commit was for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Purpose {
@@ -335,6 +356,7 @@
     unwritten: BTreeSet<JobId>,
     /// Tasks meant for a machine that has not reported since, oldest first.
     unsent: BTreeSet<(Micros, JobId, u32)>,
+    measured: Measured,
     hold: Option<Hold>,
     shares: BTreeMap<Rc<str>, Share>,
     seq: u64,
@@ -385,6 +407,7 @@
             wake: BTreeSet::new(),
             unwritten: BTreeSet::new(),
             unsent: BTreeSet::new(),
+            measured: Measured::default(),
             hold: None,
             shares: BTreeMap::new(),
             seq: 0,
@@ -560,6 +583,9 @@
                 Some(h)
             });
             if let Some(h) = held {
+                if to == Place::Done && !h.narrow {
+                    self.measured.add(&job.spec, now - h.since, now);
+                }
                 if h.place == Place::Assigned {
                     self.unsent.remove(&(h.since, id.clone(), n));
                     if h.brings {
@@ -1251,6 +1277,8 @@
                 .ready_parts()
                 .map(|(id, attempt)| (id.to_string(), attempt))
                 .collect(),
+            said: self.measured.said,
+            took: self.measured.took,
         }
     }
 
