--- a/src/leader.rs
+++ b/src/leader.rs
@@ -952,6 +952,9 @@
             .filter(|r| r.live && (r.spot || r.kept.is_none()))
             .map(|r| (r.cap.0 - r.free.0) as f64 * r.all)
             .sum();
+        if self.usual == 0.0 {
+            self.usual = used;
+        }
         self.usual += (used - self.usual) * 0.04;
         let mut backlog = 0.0;
         for w in waits.iter().filter(|w| w.narrow.is_none() && !w.whole()) {
@@ -972,7 +975,9 @@
     /// Has machines closed that all regions together can do without: of those
     /// that leave enough the dearest by what a processor costs, emptier ones first.
     fn close_surplus(&mut self, v: &View<'_>) {
-        if v.now < self.next_close {
+        // Guards against a new leader that knows of no demand yet, in the middle of a
+        // burst perhaps: what it closed would be rented anew a little later.
+        if v.now < self.next_close || self.inflow.rate(v.now).is_none() {
             return;
         }
         let open = || self.rooms.iter().filter(|r| r.spot || r.kept.is_none());
--- a/src/node.rs
+++ b/src/node.rs
@@ -604,7 +604,7 @@
         }
         let now = self.now;
         let back = self.regions.values().find(|r| {
-            r.settled()
+            r.tidy(now)
                 && r.name != self.settings.name
                 && self.peers.get(&r.name).is_some_and(|p| {
                     p.heard.is_some_and(|h| now < h + 2 * SECOND)
--- a/src/region/machines.rs
+++ b/src/region/machines.rs
@@ -22,6 +22,13 @@
     v.settings.report * 18 / 5
 }
 
+/// The same after a taking, for machines not accounted for: the longest interval, one
+/// report to a controller that is gone, a second to the next, and some more. Work
+/// that was bound before waits for them all.
+fn unaccounted(v: &View<'_>) -> Micros {
+    (v.settings.report * 5 / 4 + 8 * SECOND).min(unheard(v))
+}
+
 /// Whether our answers reach a machine. Its reports arriving is no sign of it:
 /// the way back may be cut alone, and such a machine would draw work again and
 /// again and carry out none of it.
@@ -591,6 +598,8 @@
         release: &mut Vec<String>,
     ) -> Option<Micros> {
         let lease = stretch(v.settings.lease);
+        let awaited = self.awaited.contains(name);
+        let patience = if awaited { unaccounted(v) } else { unheard(v) };
         let m = self.machines.get(name)?;
         if m.gone || m.releasing {
             return None;
@@ -614,7 +623,7 @@
                 // Its time was up and it fell silent: taken. The cloud's answer
                 // proves it at once.
                 return self.give_back(name, "taken", release);
-            } else if v.now > m.heard_at + unheard(v) && m.rec.opened {
+            } else if v.now > m.heard_at + patience && m.rec.opened {
                 if others.is_none() {
                     *others = Some(self.others_report(v));
                 }
@@ -639,7 +648,7 @@
                 let late = m.dealt_at + m.boot * 8 / 5 + 4 * SECOND;
                 let last = m.dealt_at + 3 * m.boot + 30 * SECOND;
                 if m.rec.opened && !coming {
-                    return Some((v.now + SECOND).max((m.heard_at + unheard(v)).min(silent)));
+                    return Some((v.now + SECOND).max((m.heard_at + patience).min(silent)));
                 }
                 if v.now > last {
                     return self.give_back(name, "never came up", release);
--- a/src/region/mod.rs
+++ b/src/region/mod.rs
@@ -454,6 +454,13 @@
         self.settled
     }
 
+    /// Whether another may take the region without waiting for machines that we know
+    /// are gone: the next owner would look for them all over again.
+    pub fn tidy(&self, now: Micros) -> bool {
+        let long = now > self.taken_at + 60 * SECOND;
+        self.settled && (self.to_forget.is_empty() || long)
+    }
+
     /// Enters a job's record. `taking`: as found when the region was taken, so
     /// its tasks may have been started by a former owner.
     pub fn on_job(&mut self, id: &str, v: &View<'_>, taking: bool) {
