--- a/src/region/machines.rs
+++ b/src/region/machines.rs
@@ -662,7 +662,9 @@
         if let Some(n) = m.notice {
             next = next.min(n + 2 * SECOND);
         }
-        if !m.tasks.is_empty() {
+        let group = self.list.groups.get(&m.group);
+        let kept = group.is_some_and(|g| g.kept.is_some());
+        if m.serves(kept) {
             return Some(next);
         }
         let old = m.dealt_at + LEAST_AGE;
@@ -682,7 +684,18 @@
         }
         let idle = m.idle_since.max(m.dealt_at) + patience;
         if m.closed.is_some() || (v.now > old && v.now > idle && !self.is_wanted(name)) {
-            return self.give_back(name, "idle", release);
+            if m.tasks.is_empty() {
+                return self.give_back(name, "idle", release);
+            }
+            // Guards against a large machine that stays for the sake of small tasks in
+            // the corner that is left beside a large one: it gets no more of them.
+            let m = self.machines.get_mut(name)?;
+            if m.closed.is_none() {
+                log::debug!("region: {name}: closed, only small work left on it");
+                m.closed = Some(SURPLUS);
+                self.surplus.insert(name.clone());
+            }
+            return Some(next);
         }
         let again = old.max(idle);
         Some(next.min(if again > v.now {
@@ -721,13 +734,8 @@
             .values()
             .take(LOOK)
             .filter_map(|id| self.jobs.get(id))
-            .any(|j| {
-                let room = match kept {
-                    Some(k) if j.narrow_to.is_none() => list::less(m.cap, k),
-                    _ => m.cap,
-                };
-                fits(room, &j.spec) && j.spec.permits(&m.rec.flavor, &m.rec.zone, m.rec.spot)
-            })
+            .filter(|j| kept.is_none() || j.narrow_to.is_some())
+            .any(|j| fits(m.cap, &j.spec) && j.spec.permits(&m.rec.flavor, &m.rec.zone, m.rec.spot))
     }
 
     fn give_back(
@@ -745,11 +753,15 @@
     }
 
     /// Work waits: machines that were closed as not needed serve again, unless
-    /// they are already on their way back to the cloud.
-    pub(super) fn reopen(&mut self) {
+    /// they are already on their way back to the cloud; those of types that are kept
+    /// for some jobs only when such a job waits.
+    pub(super) fn reopen(&mut self, for_kept: bool) {
         for name in std::mem::take(&mut self.surplus) {
             if let Some(m) = self.machines.get_mut(&name) {
-                if m.closed == Some(SURPLUS) && !m.releasing {
+                let group = self.list.groups.get(&m.group);
+                if group.is_some_and(|g| g.kept.is_some()) != for_kept {
+                    self.surplus.insert(name);
+                } else if m.closed == Some(SURPLUS) && !m.releasing {
                     m.closed = None;
                     self.relist(&name);
                     self.dirty_machines.insert(name);
--- a/src/region/mod.rs
+++ b/src/region/mod.rs
@@ -138,6 +138,12 @@
         self.closed.is_none() && self.notice.is_none() && !self.gone && self.cap != (0, 0, 0)
     }
 
+    /// Whether it holds work of the kind that it is there for: on a type that is kept
+    /// for some jobs, theirs.
+    fn serves(&self, kept: bool) -> bool {
+        self.tasks.values().any(|h| h.narrow || !kept)
+    }
+
     fn open(&self) -> bool {
         self.standing == Standing::Live && self.rec.opened && self.usable()
     }
@@ -584,7 +590,9 @@
                 if !h.narrow {
                     m.wide = list::less(m.wide, h.room());
                 }
-                if m.tasks.is_empty() && h.place != Place::Assigned {
+                let group = self.list.groups.get(&m.group);
+                let kept = group.is_some_and(|g| g.kept.is_some());
+                if (h.narrow || !kept) && !m.serves(kept) && h.place != Place::Assigned {
                     m.idle_since = now;
                 }
                 Some(h)
@@ -613,8 +621,11 @@
                 self.dirty_teams.insert(h.team.to_string());
                 self.dirty_machines.insert(at.clone());
                 self.relist(at);
-                let empty = self.machines.get(at).filter(|m| m.tasks.is_empty());
-                if let Some(m) = empty {
+                let idle = self
+                    .machines
+                    .get(at)
+                    .filter(|m| m.tasks.is_empty() || (h.narrow && !m.serves(true)));
+                if let Some(m) = idle {
                     let wait = if m.closed.is_some() { 0 } else { m.boot };
                     self.look_at(at, now + wait);
                 }
@@ -1454,6 +1465,75 @@
         }
     }
 
+    /// A machine of a type that large jobs need is not kept up by small work in the
+    /// corner beside them: once no large one has been on it for a while it gets no more
+    /// of that, until a large one waits again.
+    #[test]
+    fn small_work_keeps_no_large_machine() {
+        let mut f = Fixture::new();
+        let big = json!({"name":"big","cpus":16_000_000,"gpus":0,"mem":64_000_000,"fetch":1,
+            "price":9,"spot_price":9,"boot":10_000_000,"zones":["a"]});
+        f.put("st/flavor/big", big);
+        let v = json!({"region":"t-0","flavor":"big","zone":"a","spot":false,"opened":true});
+        f.put("st/machine/m-1", v);
+        f.share("red", 60_000_000);
+        let mut r = f.take(7, SECOND);
+        let large = |f: &mut Fixture, id: &str| {
+            let v = json!({"st":"o","b":[[0,1,"t-0"]],"j":{"c":"l","t":"red","k":"a","r":"1","n":1,
+                "u":10_000_000,"m":20_000_000,"i":"img","e":5_000_000,"a":1}});
+            f.put(&format!("st/job/{id}"), v);
+        };
+        r.on_report(&report("m-1", 1, 7, &[]), &f.view(2 * SECOND));
+        large(&mut f, "req-1");
+        r.on_job("req-1", &f.view(2 * SECOND), false);
+        f.job("req-2", "red", "s", "1", 1, 0);
+        r.on_job("req-2", &f.view(2 * SECOND), false);
+        let mut begun = BTreeMap::new();
+        let mut out = Vec::new();
+        for s in 3..90 {
+            let v = f.view(s * SECOND);
+            let tasks: Vec<(&str, u32, u64)> = begun
+                .iter()
+                .filter(|((id, _), _): &(&(JobId, u32), &u64)| s < 20 || &**id != "req-1")
+                .map(|((id, n), a)| (&**id, *n, *a))
+                .collect();
+            let mut rep = report("m-1", s, 7, &tasks);
+            if s == 20 {
+                let a = begun[&(JobId::from("req-1"), 0)];
+                rep.tasks.push(ReportedTask {
+                    job: "req-1".into(),
+                    task: 0,
+                    attempt: a,
+                    stage: OnMachine::Ended(End::Done),
+                });
+            }
+            if let Verdict::Commands(c) = r.on_report(&rep, &v) {
+                for c in c {
+                    if let Command::Start(id, n, a) = c {
+                        out.push(id.to_string());
+                        begun.insert((id, n), a);
+                    }
+                }
+            }
+            r.tick(&v);
+            for e in r.take_effects() {
+                if let Effect::Commit(_, _, purpose) = e {
+                    r.concluded(purpose, true, &v);
+                }
+            }
+            if s == 70 {
+                f.job("req-3", "red", "s", "1", 1, 0);
+                r.on_job("req-3", &f.view(s * SECOND), false);
+            }
+            if s == 80 {
+                assert_eq!(out, ["req-1", "req-2"], "req-3 may run elsewhere");
+                large(&mut f, "req-4");
+                r.on_job("req-4", &f.view(s * SECOND), false);
+            }
+        }
+        assert!(out.contains(&"req-4".to_owned()), "{out:?}");
+    }
+
     /// One result of a gang ends it, whichever region saw it: its tasks complete
     /// together, and the machines of the others may be gone. Of an array each counts.
     #[test]
--- a/src/region/placing.rs
+++ b/src/region/placing.rs
@@ -320,15 +320,16 @@
             self.rekey(&id, v);
             short |= self.jobs.get(&id).is_some_and(|j| j.short);
         }
-        if !self.surplus.is_empty()
-            && self
-                .ready
-                .values()
-                .take(AHEAD)
+        if !self.surplus.is_empty() {
+            let next = self.ready.values().take(AHEAD);
+            let waits: BTreeSet<bool> = next
                 .filter_map(|id| self.jobs.get(id))
-                .any(|j| j.narrow_to.is_none() && !j.short)
-        {
-            self.reopen();
+                .filter(|j| !j.short)
+                .map(|j| j.narrow_to.is_some())
+                .collect();
+            for narrow in waits {
+                self.reopen(narrow);
+            }
         }
         // What was found wanting is asked for at once.
         if short {
@@ -359,8 +360,11 @@
                     Listed::Open { free, .. } => free,
                     _ => return None,
                 };
+                let group = self.list.groups.get(k);
                 fits(free, s).then(|| {
                     (
+                        // What may run elsewhere keeps off a type that others need.
+                        wide && group.is_some_and(|g| g.kept.is_some()),
                         job.failed_on.contains(name),
                         held,
                         !m.images.contains(&s.image),
@@ -404,7 +408,10 @@
             // Where a job's tasks are together is settled; only the machine changes.
             let bound = s.kind == Kind::Gang || s.one_zone || s.spread;
             let fewer = m.tasks.len() < o.tasks.len();
-            if h.stop.is_some()
+            let group = self.list.groups.get(&m.group);
+            let scarce = job.narrow_to.is_none() && group.is_some_and(|g| g.kept.is_some());
+            if scarce
+                || h.stop.is_some()
                 || !fits(room, s)
                 || job.failed_on.contains(name)
                 || (bound && m.group != o.group)
