Whatever waited three minutes goes by age: nothing is passed over for ever

A test under lasting small work showed an array of 24 tasks, and a class whose aims are past, behind shorter work for ten minutes. Test nothing_is_passed_over_for_ever (largest, class, team), the first two seen failing before.

--- a/src/region/mod.rs
+++ b/src/region/mod.rs
@@ -1808,6 +1808,49 @@
         assert!(began < 10 + 120, "began after {} s", began - 10);
     }
 
+    /// Under more small work than there is room for, whatever comes later or is shorter
+    /// doesn't pass a job over for ever: not a class's largest, not a class whose aims
+    /// are past, not a team beyond its guarantee. Each begins within four minutes.
+    #[test]
+    fn nothing_is_passed_over_for_ever() {
+        let past = crate::settings::Objective {
+            kind: "wait".into(),
+            class: Some("late".into()),
+            within: Some(SECOND),
+            share: 0.9,
+        };
+        for (what, class, team, tasks) in [
+            ("largest", "x", "red", 24),
+            ("class", "late", "red", 1),
+            ("team", "x", "blue", 24),
+        ] {
+            let mut shop = Shop::new(4);
+            shop.f.settings.objectives = vec![past.clone()];
+            let mut began = None;
+            for s in 2..300u64 {
+                let now = s * SECOND;
+                for i in 0..3 {
+                    let id = format!("req-{}", s * 10 + i);
+                    shop.submit(&id, "a", "red", 1, 2_000_000, now);
+                }
+                if s == 10 {
+                    let v = json!({"st":"o","b":[[0,tasks,"t-0"]],"j":{"c":class,"t":team,"k":"a",
+                        "r":"1","n":tasks,"u":2_000_000,"m":1_000_000,"i":"img","e":4_000_000,"a":now}});
+                    shop.f.put("st/job/req-1", v);
+                    shop.r.on_job("req-1", &shop.f.view(now), false);
+                }
+                shop.second(now, None);
+                let n = shop.began.keys().filter(|(j, _)| j == "req-1").count();
+                if n as u64 == tasks {
+                    began = Some(s);
+                    break;
+                }
+            }
+            let began = began.unwrap_or_else(|| panic!("{what}: never began"));
+            assert!(began <= 10 + 240, "{what}: began after {} s", began - 10);
+        }
+    }
+
     /// A team that floods the region with work gets what is left: the others'
     /// work within their guarantees starts at once.
     #[test]
--- a/src/region/placing.rs
+++ b/src/region/placing.rs
@@ -134,8 +134,10 @@
 const BACKFILL_SLACK: Micros = 10 * SECOND;
 /// A job within its guarantee waits so long for room before others make it.
 const PREEMPT_AFTER: Micros = 6 * SECOND;
-/// Whatever has waited so long since its submission goes by age from then on.
-const PATIENCE: Micros = 600 * SECOND;
+/// Whatever has waited so long since its submission goes by age from then on. Guards
+/// against a class's largest jobs, or a class whose aims are all past, being passed
+/// over under lasting overload: a minute is left of the four in which they must begin.
+const PATIENCE: Micros = 180 * SECOND;
 const AHEAD: usize = 3;
 
 /// How long a type is kept clear for jobs that fit nowhere else, after the last
