Tests: repeats of requests long after, and the 75 s rule for finished jobs too

The simulated world repeats submissions and cancellations up to 200 s later and goes on asking about every accepted job, over or not.

--- a/src/sim.rs
+++ b/src/sim.rs
@@ -306,6 +306,8 @@
             });
             w.at(1 + i as u64 * 50 * MILLI, Ev::Boot(i));
         }
+        // Repeats of requests that were carried out, long after.
+        let mut later = fastrand::Rng::with_seed(plan.seed ^ 0x1a7e);
         for i in 0..plan.jobs {
             let id = format!("req-{:06}", 100 + i * 7 % plan.jobs.max(1));
             let kind = ["batch", "batch", "gang", "standing"][w.rng.usize(0..4)];
@@ -325,8 +327,14 @@
             if kind == "standing" || w.rng.u32(0..5) == 0 {
                 let t = at + SECOND * w.rng.u64(1..40);
                 w.at(t, Ev::User(id.clone(), What::Abort));
+                let again = t + SECOND * later.u64(1..120);
+                w.at(again, Ev::User(id.clone(), What::Abort));
             }
             w.at(at, Ev::User(id.clone(), What::Submit));
+            for _ in 0..later.u32(0..3) {
+                let again = at + SECOND * later.u64(1..200);
+                w.at(again, Ev::User(id.clone(), What::Submit));
+            }
             w.jobs.insert(
                 id,
                 Job {
@@ -1231,6 +1239,7 @@
         if stage == "done" && (j.done.len() as u32) < j.tasks {
             wrong = Some("not_done");
         }
+        let first = !j.accepted;
         j.accepted = true;
         j.answered = now;
         if matches!(stage.as_str(), "done" | "cancelled") && j.told_at == 0 {
@@ -1243,7 +1252,6 @@
             }
             _ => {}
         }
-        let first = what == What::Submit;
         if let Some(rule) = wrong {
             return self.breaks(rule, format!("{id}: {what:?} says {stage}"));
         }
@@ -1331,13 +1339,13 @@
     }
 
     /// Once all troubles are over, no accepted job is left without an answer for
-    /// 75 s, however the others fare.
+    /// 75 s, however the others fare, and whether it is over or not.
     fn check_known(&mut self) {
         let now = self.now;
         let left: Vec<String> = self
             .jobs
             .iter()
-            .filter(|(_, j)| j.accepted && !j.done_told && j.cancel_told.is_none())
+            .filter(|(_, j)| j.accepted)
             .filter(|(_, j)| now > j.answered.max(self.troubles_end) + 75 * SECOND)
             .map(|(id, _)| id.clone())
             .collect();
