--- a/src/region/machines.rs
+++ b/src/region/machines.rs
@@ -22,13 +22,6 @@
     v.settings.report * 18 / 5
 }
 
-/// How long after its last report nothing more is meant for a machine: the longest
-/// interval and some more. Guards against work that waits, uncounted, for hundreds
-/// of machines behind a cut until their leases are over.
-fn hush(v: &View<'_>) -> Micros {
-    v.settings.report * 3 / 2 + SECOND / 2
-}
-
 /// The same after a taking, for machines not accounted for: the longest interval, one
 /// report to a controller that is gone, a second to the next, and some more. Work
 /// that was bound before waits for them all.
@@ -100,7 +93,6 @@
             releasing: false,
             gone: false,
             late: false,
-            quiet: false,
             due: Micros::MAX,
         };
         if rec.opened {
@@ -273,9 +265,6 @@
         m.last_ok = v.now;
         m.greeted = 0;
         m.standing = Standing::Live;
-        if std::mem::take(&mut m.quiet) {
-            self.dirty_machines.insert(name.clone());
-        }
         m.notice = r.notice.map(|n| v.now + n);
         if m.notice.is_some() {
             self.noticed.insert(name.clone());
@@ -321,7 +310,12 @@
             if times >= DEAF_TIMES && m.closed.is_none() {
                 m.closed = Some("deaf");
             }
-            let meant: Vec<(JobId, u32)> = m.assigned().collect();
+            let meant: Vec<(JobId, u32)> = m
+                .tasks
+                .iter()
+                .filter(|(_, h)| h.place == Place::Assigned)
+                .map(|(k, _)| k.clone())
+                .collect();
             for (id, n) in meant {
                 self.lost(&id, n, "its machine is deaf", v);
             }
@@ -664,17 +658,7 @@
             }
             Standing::Live => m.late = false,
         }
-        let silent_from = m.heard_at + hush(v);
-        let mut next = silent_from;
-        if v.now > silent_from {
-            m.quiet = true;
-            next = (m.heard_at + unheard(v)).max(v.now + SECOND);
-            let meant: Vec<(JobId, u32)> = m.assigned().collect();
-            for (id, n) in meant {
-                self.lost(&id, n, "its machine is quiet", v);
-            }
-        }
-        let m = self.machines.get(name)?;
+        let mut next = (m.heard_at + unheard(v)).max(v.now + v.settings.report);
         if let Some(n) = m.notice {
             next = next.min(n + 2 * SECOND);
         }
