Read-over: one place for what is kept clear, an open machine's room, a processor's price

The change had written three things again: the look-up of what a group keeps clear (seven places), the choice between free room and that for wide tasks (three), and the price of a processor (three). Now List::kept, Listed::room, Flavor::price_of and per_cpu. The rate of what comes in is worked out once a closing; a comment that had slipped to another constant is back.

--- a/src/leader.rs
+++ b/src/leader.rs
@@ -977,18 +977,19 @@
     fn close_surplus(&mut self, v: &View<'_>) {
         // Guards against a new leader that knows of no demand yet, in the middle of a
         // burst perhaps: what it closed would be rented anew a little later.
-        if v.now < self.next_close || self.inflow.rate(v.now).is_none() {
+        if v.now < self.next_close {
             return;
         }
+        let Some(came) = self.inflow.rate(v.now) else {
+            return;
+        };
         let open = || self.rooms.iter().filter(|r| r.spot || r.kept.is_none());
         let cap: f64 = open().map(|r| r.processors(false)).sum();
         let mut spare = cap - self.keep;
         let mut vain: Vec<(f64, &Room)> = open()
             .filter(|r| r.live)
             .filter_map(|r| {
-                let f = &v.replica.flavors.get(&r.flavor)?.value;
-                let price = if r.spot { f.spot_price } else { f.price };
-                let price = price as f64 / f.cpus.max(1) as f64;
+                let price = v.replica.flavors.get(&r.flavor)?.value.per_cpu(r.spot);
                 Some((price * (0.5 + r.free.0 as f64 / r.cap.0.max(1) as f64), r))
             })
             .collect();
@@ -1017,7 +1018,7 @@
             cap / 1e6,
             self.keep / 1e6,
             self.usual / 1e6,
-            self.inflow.rate(v.now).unwrap_or(0.0) / 1e6,
+            came / 1e6,
             self.truth
         );
         for ((region, flavor, zone, spot), count) in closing {
@@ -1319,8 +1320,8 @@
             if per == 0 {
                 continue;
             }
-            let price = if o.spot { f.spot_price } else { f.price } as f64;
-            let cost = price / (per * s.cpus).max(1) as f64 * (1.0 + to_secs(f.boot) / 100.0);
+            let cost = f.price_of(o.spot) as f64 / (per * s.cpus).max(1) as f64
+                * (1.0 + to_secs(f.boot) / 100.0);
             if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
                 best = Some((cost, o, per));
             }
--- a/src/model.rs
+++ b/src/model.rs
@@ -206,6 +206,22 @@
     pub zones: Vec<String>,
 }
 
+impl Flavor {
+    /// What a machine costs an hour, ordinary or spot.
+    pub fn price_of(&self, spot: bool) -> u64 {
+        if spot {
+            self.spot_price
+        } else {
+            self.price
+        }
+    }
+
+    /// The same for one of its processors.
+    pub fn per_cpu(&self, spot: bool) -> f64 {
+        self.price_of(spot) as f64 / self.cpus.max(1) as f64
+    }
+}
+
 /// A set of task numbers as ranges, so that 100,000 tasks in a row cost as
 /// little as one.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
--- a/src/region/list.rs
+++ b/src/region/list.rs
@@ -71,6 +71,17 @@
     },
 }
 
+impl Listed {
+    /// Free room of an open machine, for tasks that fit on other types too if `wide`.
+    pub fn room(self, for_wide: bool) -> Option<Room> {
+        match self {
+            Listed::Open { wide, .. } if for_wide => Some(wide),
+            Listed::Open { free, .. } => Some(free),
+            Listed::Out | Listed::Booting => None,
+        }
+    }
+}
+
 type Steps = BTreeMap<Step, BTreeSet<(u32, Rc<str>)>>;
 
 /// Machines of one type, zone and kind.
@@ -138,6 +149,11 @@
 }
 
 impl List {
+    /// What is kept clear on machines of a group for jobs that fit nowhere else.
+    pub fn kept(&self, key: &GroupKey) -> Option<Room> {
+        self.groups.get(key)?.kept
+    }
+
     /// Changes how a machine stands.
     pub fn change(&mut self, key: &GroupKey, cap: Room, name: &Rc<str>, was: Listed, now: Listed) {
         let g = self.groups.entry(key.clone()).or_default();
--- a/src/region/machines.rs
+++ b/src/region/machines.rs
@@ -161,8 +161,7 @@
         let hears = !matches!(m.ear, Ear::Deaf { .. });
         let to = if m.open() && hears {
             let free = m.free();
-            let kept = self.list.groups.get(&m.group).and_then(|g| g.kept);
-            let wide = match kept {
+            let wide = match self.list.kept(&m.group) {
                 Some(k) => list::least(free, list::less(list::less(m.cap, k), m.wide)),
                 None => free,
             };
@@ -662,8 +661,7 @@
         if let Some(n) = m.notice {
             next = next.min(n + 2 * SECOND);
         }
-        let group = self.list.groups.get(&m.group);
-        let kept = group.is_some_and(|g| g.kept.is_some());
+        let kept = self.list.kept(&m.group).is_some();
         if m.serves(kept) {
             return Some(next);
         }
@@ -708,11 +706,7 @@
     /// How many times as dear as this kind's the dearest processors open to all
     /// work are.
     fn cheaper(&self, key: &GroupKey, v: &View<'_>) -> f64 {
-        let price = |k: &GroupKey| {
-            let f = &v.replica.flavors.get(&*k.0)?.value;
-            let price = if k.2 { f.spot_price } else { f.price };
-            Some(price as f64 / f.cpus.max(1) as f64)
-        };
+        let price = |k: &GroupKey| Some(v.replica.flavors.get(&*k.0)?.value.per_cpu(k.2));
         let open = self.list.groups.iter().filter(|(_, g)| g.up > 0);
         let dear = open
             .filter(|(_, g)| g.kept.is_none())
@@ -729,7 +723,7 @@
         let Some(m) = self.machines.get(name) else {
             return false;
         };
-        let kept = self.list.groups.get(&m.group).and_then(|g| g.kept);
+        let kept = self.list.kept(&m.group);
         self.ready
             .values()
             .take(LOOK)
@@ -758,8 +752,7 @@
     pub(super) fn reopen(&mut self, for_kept: bool) {
         for name in std::mem::take(&mut self.surplus) {
             if let Some(m) = self.machines.get_mut(&name) {
-                let group = self.list.groups.get(&m.group);
-                if group.is_some_and(|g| g.kept.is_some()) != for_kept {
+                if self.list.kept(&m.group).is_some() != for_kept {
                     self.surplus.insert(name);
                 } else if m.closed == Some(SURPLUS) && !m.releasing {
                     m.closed = None;
--- a/src/region/mod.rs
+++ b/src/region/mod.rs
@@ -590,8 +590,7 @@
                 if !h.narrow {
                     m.wide = list::less(m.wide, h.room());
                 }
-                let group = self.list.groups.get(&m.group);
-                let kept = group.is_some_and(|g| g.kept.is_some());
+                let kept = self.list.kept(&m.group).is_some();
                 if (h.narrow || !kept) && !m.serves(kept) && h.place != Place::Assigned {
                     m.idle_since = now;
                 }
--- a/src/region/placing.rs
+++ b/src/region/placing.rs
@@ -125,7 +125,6 @@
     }
 }
 
-/// For how many waiting jobs shares are taken ahead of room.
 /// A gang has been with us for so long when places begin to be kept for it. Until
 /// then smaller ones go ahead, since more of them are in time that way; a minute
 /// leaves three for the places to fill up, of the four in which it must begin.
@@ -138,6 +137,7 @@
 /// against a class's largest jobs, or a class whose aims are all past, being passed
 /// over under lasting overload: a minute is left of the four in which they must begin.
 const PATIENCE: Micros = 180 * SECOND;
+/// For how many waiting jobs shares are taken ahead of room.
 const AHEAD: usize = 3;
 
 /// How long a type is kept clear for jobs that fit nowhere else, after the last
@@ -357,16 +357,11 @@
             |k| self.allowed(id, job, k, zone, full, v),
             |k, held, name| {
                 let m = self.machines.get(name)?;
-                let free = match m.listed {
-                    Listed::Open { wide: w, .. } if wide => w,
-                    Listed::Open { free, .. } => free,
-                    _ => return None,
-                };
-                let group = self.list.groups.get(k);
+                let free = m.listed.room(wide)?;
                 fits(free, s).then(|| {
                     (
                         // What may run elsewhere keeps off a type that others need.
-                        wide && group.is_some_and(|g| g.kept.is_some()),
+                        wide && self.list.kept(k).is_some(),
                         job.failed_on.contains(name),
                         held,
                         !m.images.contains(&s.image),
@@ -394,10 +389,10 @@
                 continue;
             };
             let s = &job.spec;
-            let Listed::Open { free, wide, .. } = m.listed else {
+            let wide = job.narrow_to.is_none();
+            let Some(room) = m.listed.room(wide) else {
                 return;
             };
-            let room = if job.narrow_to.is_none() { wide } else { free };
             let Some(other) = job.out.get(&n).filter(|o| *o != name) else {
                 continue;
             };
@@ -410,8 +405,7 @@
             // Where a job's tasks are together is settled; only the machine changes.
             let bound = s.kind == Kind::Gang || s.one_zone || s.spread;
             let fewer = m.tasks.len() < o.tasks.len();
-            let group = self.list.groups.get(&m.group);
-            let scarce = job.narrow_to.is_none() && group.is_some_and(|g| g.kept.is_some());
+            let scarce = wide && self.list.kept(&m.group).is_some();
             if scarce
                 || h.stop.is_some()
                 || !fits(room, s)
@@ -487,10 +481,9 @@
         };
         let none = BTreeSet::new();
         let wide = job.narrow_to.is_none();
-        let free = |n: &str| match self.machines.get(n).map(|m| m.listed) {
-            Some(Listed::Open { wide: w, .. }) if wide => w,
-            Some(Listed::Open { free, .. }) => free,
-            _ => (0, 0, 0),
+        let free = |n: &str| {
+            let room = self.machines.get(n).and_then(|m| m.listed.room(wide));
+            room.unwrap_or_default()
         };
         self.list.count(
             &job.spec,
