Nothing starts on a read older than 3 s; peers tell of cancellations; meetings in tests

Now: three named states of authority; starts need a complete read of the last 3 s, or an outage that all controllers see at once. A confirmed cancellation is told to the peers. Jobs that must be spread and in one zone at once, or fit no type of their zone: 422.

--- a/src/intake.rs
+++ b/src/intake.rs
@@ -149,15 +149,30 @@
     if replica.flavors.is_empty() {
         return Err(Refusal::NotYet("machine types unknown"));
     }
-    if !replica.flavors.values().any(|f| spec.fits_type(&f.value)) {
+    let types = || replica.flavors.values().map(|f| &f.value);
+    if !types().any(|f| spec.fits_type(f)) {
         return Err(Refusal::Never("a task fits no allowed machine type"));
     }
+    // Types are sold by zone: one that fits but is not to be had in the only allowed
+    // zone is as good as none.
+    let here = |z: &String| types().any(|f| spec.fits_type(f) && f.zones.contains(z));
     if let Some(z) = &spec.zone {
-        let known = settings.zones.contains(z)
-            || replica.flavors.values().any(|f| f.value.zones.contains(z));
+        let known = settings.zones.contains(z) || types().any(|f| f.zones.contains(z));
         if !known {
             return Err(Refusal::Never("unknown zone"));
         }
+        if !here(z) {
+            return Err(Refusal::Never("a task fits no machine type of its zone"));
+        }
+    }
+    if spec.spread && spec.tasks > 1 {
+        if spec.one_zone || spec.zone.is_some() {
+            return Err(Refusal::Never("it must be spread and in one zone at once"));
+        }
+        let zones: std::collections::BTreeSet<_> = types().flat_map(|f| &f.zones).collect();
+        if zones.into_iter().filter(|z| here(z)).count() < 2 {
+            return Err(Refusal::Never("it must be spread over more zones than fit"));
+        }
     }
     if serde_json::to_string(spec).map_or(usize::MAX, |s| s.len()) + 1024 > settings.value_bytes {
         return Err(Refusal::Never("its description is too long to keep"));
@@ -342,6 +357,12 @@
         };
         assert_eq!(with(&|_| {}), Ok(()));
         assert_eq!(with(&|s| s.zone = Some("b".into())), Ok(()));
+        assert_eq!(with(&|s| (s.spread, s.tasks) = (true, 1)), Ok(()));
+        assert_eq!(
+            with(&|s| (s.spread, s.one_zone) = (true, false)),
+            Ok(()),
+            "two zones"
+        );
         for (what, res) in [
             ("team", with(&|s| s.team = "green".into())),
             ("type", with(&|s| s.types = Some(vec!["x".into()]))),
@@ -351,6 +372,13 @@
             ("limit", with(&|s| s.tasks = 3)),
             ("zone", with(&|s| s.zone = Some("q".into()))),
             ("length", with(&|s| s.class = "x".repeat(5000))),
+            ("spread in one zone", with(&|s| s.spread = true)),
+            (
+                "spread in a named zone",
+                with(&|s| {
+                    (s.spread, s.one_zone, s.zone) = (true, false, Some("b".into()));
+                }),
+            ),
         ] {
             assert!(matches!(res, Err(Refusal::Never(_))), "{what}: {res:?}");
         }
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -182,6 +182,12 @@
     AskStatus,
     /// The status page.
     Status(Status),
+    /// Jobs whose cancellation the sender has committed. Spares an owner that the
+    /// state service refuses from running them on until it hears; nothing hangs on it.
+    Cancelled {
+        /// Jobs.
+        jobs: Vec<String>,
+    },
 }
 
 /// A message as bytes.
--- a/src/node.rs
+++ b/src/node.rs
@@ -14,7 +14,9 @@
 use crate::reactor::{Call, CallError, CallId, ConnId, Limits, Net, NetEvent, Reactor};
 use crate::region::{self, Region, Verdict, View};
 use crate::registry::records::{value, JobRecord, Key, LeaderRecord, RegionRecord, Stage};
-use crate::registry::{GrantName, Outcome, Registry, RegistryEvent, Txn, Urgency};
+use crate::registry::{
+    Authority, GrantName, Outcome, Registry, RegistryEvent, Txn, Urgency, FRESH_FOR,
+};
 use crate::settings::Settings;
 use crate::status::{self, Aims};
 use crate::units::{Micros, MILLI, SECOND};
@@ -78,6 +80,8 @@
 struct Peer {
     heard: Option<Micros>,
     fresh: bool,
+    /// Since when it has said that its reads fail, without a break.
+    stale_since: Option<Micros>,
     /// Since when it has been heard and fresh without a break.
     well_since: Option<Micros>,
 }
@@ -110,6 +114,10 @@
     reports: Reports,
     /// Teams whose limit other regions find used up.
     short: BTreeMap<String, u64>,
+    /// Jobs that peers say are cancelled and the replica doesn't show so yet.
+    called_off: BTreeSet<String>,
+    /// Jobs cancelled here that the peers are to be told of.
+    to_tell: Vec<String>,
     mesh_next: Micros,
     mesh_count: u32,
     /// When to say next that messages can't be read.
@@ -123,10 +131,15 @@
     undying: bool,
     #[cfg(test)]
     credulous: bool,
+    #[cfg(test)]
+    eager: bool,
 }
 
-/// How old the last complete read may be for us to take requests.
-const FRESH_FOR: Micros = 3 * SECOND;
+/// How much later than ours the others' reads may have begun to fail for it to be one
+/// outage: what they committed in between they told us.
+const TOGETHER: Micros = 1500 * MILLI;
+/// Most cancellations that are remembered until the replica shows them.
+const CALLED_OFF: usize = 10_000;
 /// How long a region must have had no owner before a stranger takes it.
 const HOME_FIRST: Micros = 3 * SECOND;
 /// How long a region's home must have been well before it gets its region back.
@@ -142,6 +155,8 @@
 macro_rules! view {
     ($s:ident) => {
         View {
+            starts: $s.may_start(),
+            called_off: &$s.called_off,
             replica: &$s.registry.replica,
             settings: &$s.settings,
             now: $s.now,
@@ -208,6 +223,8 @@
                 .collect(),
             reports: Reports::new(),
             short: BTreeMap::new(),
+            called_off: BTreeSet::new(),
+            to_tell: Vec::new(),
             mesh_next: 0,
             mesh_count: 0,
             unread_next: 0,
@@ -220,6 +237,8 @@
             undying: false,
             #[cfg(test)]
             credulous: false,
+            #[cfg(test)]
+            eager: false,
             settings,
         }
     }
@@ -236,6 +255,13 @@
         self.undying = true;
     }
 
+    /// A fault for the tests to catch: starts as long as answers, and cancellations
+    /// that peers tell of passed over.
+    #[cfg(test)]
+    pub fn plant_eager(&mut self) {
+        self.eager = true;
+    }
+
     /// A fault for the tests to catch: copies taken for news.
     #[cfg(test)]
     pub fn plant_credulous(&mut self) {
@@ -284,7 +310,34 @@
         if self.undying {
             return true;
         }
-        self.now < self.registry.authority_until()
+        self.registry.authority(self.now) != Authority::Ended
+    }
+
+    /// Whether tasks may be started. Beyond the short deadline only in an outage for
+    /// all, in which nobody can confirm a cancellation: every peer is heard and lost
+    /// the state service when we did. That is the mesh's word and may be wrong, so it
+    /// moves no bound that a rule hangs on; those are the longer deadline's.
+    fn may_start(&self) -> bool {
+        #[cfg(test)]
+        if self.undying || self.eager {
+            return self.authority();
+        }
+        match self.registry.authority(self.now) {
+            Authority::Starting => true,
+            Authority::Answering => self.outage(),
+            Authority::Ended => false,
+        }
+    }
+
+    /// Whether all controllers lost the state service at the same time.
+    fn outage(&self) -> bool {
+        let Some(since) = self.registry.fresh_at().map(|f| f + FRESH_FOR) else {
+            return false;
+        };
+        self.peers.values().all(|p| {
+            p.heard.is_some_and(|h| self.now < h + TOGETHER)
+                && p.stale_since.is_some_and(|s| s < since + TOGETHER)
+        })
     }
 
     fn fresh(&self) -> bool {
@@ -331,6 +384,13 @@
             self.look_at_aims();
         }
         until = until.min(self.mesh_next);
+        if !self.to_tell.is_empty() {
+            let jobs = std::mem::take(&mut self.to_tell);
+            let m = mesh::encode(&Message::Cancelled { jobs });
+            for i in 0..self.settings.peers.len() {
+                self.reactor.send(i, &m);
+            }
+        }
         self.expire_waiting();
         if let Some(w) = self.waiting.iter().map(|w| w.give_up).min() {
             until = until.min(w);
@@ -438,6 +498,9 @@
 
     fn on_loaded(&mut self) {
         self.registry.replica.take_touched();
+        let known = &self.registry.replica.jobs;
+        self.called_off
+            .retain(|id| known.get(id).is_none_or(|r| r.value.stage == Stage::Open));
         let v = view!(self);
         for r in self.regions.values_mut() {
             r.on_loaded(&v);
@@ -457,12 +520,17 @@
                 }
             }
         }
+        let mut shown = Vec::new();
         for key in keys {
             match &key {
                 Key::Job(id) => {
                     for r in self.regions.values_mut() {
                         r.on_job(id, &v, false);
                     }
+                    let over = v.replica.jobs.get(id);
+                    if over.is_some_and(|r| r.value.stage != Stage::Open) {
+                        shown.push(id.clone());
+                    }
                 }
                 Key::Quota(team) => {
                     for r in self.regions.values_mut() {
@@ -483,6 +551,9 @@
                 Key::Machine(_) | Key::Lot(_) | Key::Roll(..) => {}
             }
         }
+        for id in shown {
+            self.called_off.remove(&id);
+        }
     }
 
     // --- Regions -----------------------------------------------------------
@@ -845,6 +916,7 @@
                 let gap = p.heard.is_none_or(|h| now > h + 3 * SECOND);
                 p.heard = Some(now);
                 p.fresh = fresh;
+                p.stale_since = (!fresh).then(|| p.stale_since.unwrap_or(now));
                 if !fresh || gap {
                     p.well_since = None;
                 }
@@ -879,6 +951,22 @@
                 }
             }
             Message::AskStatus | Message::Status(_) => {}
+            #[cfg(test)]
+            Message::Cancelled { .. } if self.eager || self.undying => {}
+            Message::Cancelled { jobs } => {
+                for id in jobs {
+                    let rec = self.registry.replica.jobs.get(&id);
+                    let shown = rec.is_some_and(|r| r.value.stage != Stage::Open);
+                    if shown || !is_job_id(&id) || self.called_off.len() >= CALLED_OFF {
+                        continue;
+                    }
+                    self.called_off.insert(id.clone());
+                    let v = view!(self);
+                    for r in self.regions.values_mut() {
+                        r.call_off(&id, &v);
+                    }
+                }
+            }
             Message::Close {
                 region,
                 flavor,
@@ -1060,8 +1148,8 @@
         let elsewhere = |to: Option<&str>| Response::new(421, workers::elsewhere(to));
         let Some(rec) = self.registry.replica.machines.get(&r.machine) else {
             // No record: the leader finds out what it is.
+            let v = view!(self);
             if let Some(l) = &mut self.leader {
-                let v = view!(self);
                 l.stranger(&v);
                 return self.reactor.respond(conn, elsewhere(None));
             }
@@ -1366,6 +1454,7 @@
                 match outcome {
                     Outcome::Done(_) => {
                         log::debug!("intake: {id}: cancelled");
+                        self.to_tell.push(id.clone());
                         let body = intake::state_body(&id, Stage::Cancelled, None);
                         self.reactor.respond(conn, Response::new(200, body));
                     }
--- a/src/region/mod.rs
+++ b/src/region/mod.rs
@@ -321,6 +321,18 @@
     /// Teams whose limit other regions find used up, with the time of submission of
     /// the oldest job that lacks some.
     pub short: &'a BTreeMap<String, u64>,
+    /// Whether tasks may be started, not just kept.
+    pub starts: bool,
+    /// Jobs that are cancelled for sure though the replica may not show it yet.
+    pub called_off: &'a BTreeSet<String>,
+}
+
+impl View<'_> {
+    /// Whether nothing of a job is to run any more, or it is on no record.
+    fn over(&self, id: &str) -> bool {
+        let rec = self.replica.jobs.get(id);
+        rec.is_none_or(|r| r.value.stage != Stage::Open) || self.called_off.contains(id)
+    }
 }
 
 /// An owned region.
@@ -480,7 +492,7 @@
         }
         let mine = rec.tasks_of(&self.name);
         let key = self.jobs.get_key_value(id).map(|(k, _)| k.clone());
-        if rec.stage != Stage::Open {
+        if v.over(id) {
             if let Some(id) = key {
                 self.end_job(&id, v);
             }
@@ -546,6 +558,14 @@
         self.after_out(&id);
     }
 
+    /// A job is cancelled, as another controller has it from the state service.
+    pub fn call_off(&mut self, id: &str, v: &View<'_>) {
+        if let Some(id) = self.jobs.get_key_value(id).map(|(k, _)| k.clone()) {
+            log::info!("region: {id}: cancelled, as a peer says");
+            self.end_job(&id, v);
+        }
+    }
+
     fn end_job(&mut self, id: &JobId, v: &View<'_>) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
@@ -856,7 +876,7 @@
             if ours || end == End::Done {
                 self.on_ended(machine, t, end, ours, v);
             }
-            let open = rec.is_some_and(|r| r.stage == Stage::Open);
+            let open = !v.over(&t.job);
             let recorded = self
                 .jobs
                 .get(&t.job)
@@ -901,7 +921,7 @@
         rec: Option<&JobRecord>,
         v: &View<'_>,
     ) -> bool {
-        let over = rec.is_none_or(|r| r.stage != Stage::Open);
+        let over = v.over(&t.job);
         if let (true, Some(spec)) = (over, rec.and_then(|r| r.spec.as_ref())) {
             // Cancelled, but still there: counts against the limit until gone.
             let narrow_to = narrow_type(spec, v.replica);
@@ -1063,7 +1083,9 @@
             }
         }
         for ((id, n), h) in m.tasks.iter_mut() {
-            if commands.len() >= MAX_COMMANDS {
+            // Guards against starts of jobs whose cancellation was confirmed while
+            // the state service refuses us: what we know is some seconds old.
+            if commands.len() >= MAX_COMMANDS || !v.starts {
                 break;
             }
             if h.place == Place::Assigned && h.stop.is_none() && !h.wait_go {
@@ -1316,6 +1338,8 @@
         settings: Settings,
         rev: u64,
         short: BTreeMap<String, u64>,
+        starts: bool,
+        called_off: BTreeSet<String>,
     }
 
     impl Fixture {
@@ -1325,6 +1349,8 @@
                 settings: Settings::parse("f", &crate::settings::tests::sample()).unwrap(),
                 rev: 0,
                 short: BTreeMap::new(),
+                starts: true,
+                called_off: BTreeSet::new(),
             };
             f.put(
                 "st/flavor/box",
@@ -1357,6 +1383,8 @@
                 now,
                 wall: now,
                 short: &self.short,
+                starts: self.starts,
+                called_off: &self.called_off,
             }
         }
         fn take(&self, token: u64, now: Micros) -> Region {
--- a/src/region/placing.rs
+++ b/src/region/placing.rs
@@ -807,7 +807,7 @@
     /// and only as much as it needs; what has run for the shortest time goes first.
     pub(super) fn preempt(&mut self, v: &View<'_>) {
         const LOOK: usize = 8;
-        if v.now < self.next_preempt || !self.settled {
+        if v.now < self.next_preempt || !self.settled || !v.starts {
             return;
         }
         let ids: Vec<JobId> = self.ready.values().take(LOOK).cloned().collect();
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -69,6 +69,18 @@
     LeaderGrantLost,
 }
 
+/// How far an owner may act just now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Authority {
+    /// Not at all: another may own the region, or jobs be cancelled unheard.
+    Ended,
+    /// It may answer reports and so keep running work alive, but what it knows is too
+    /// old to start anything by: a job may have been cancelled since.
+    Answering,
+    /// It may start tasks, too.
+    Starting,
+}
+
 /// A call to the state service.
 #[derive(Debug)]
 pub struct StoreCall {
@@ -276,6 +288,8 @@
     now: Micros,
 }
 
+/// How old the last complete read may be for us to take requests and start tasks.
+pub const FRESH_FOR: Micros = 3 * SECOND;
 const MARGIN: Micros = 300 * MILLI;
 const COMMITS_AT_ONCE: usize = 6;
 /// The periodic read that keeps authority and readiness up.
@@ -355,7 +369,21 @@
         self.failing
     }
 
-    /// Until when an owner may act.
+    /// How far an owner may act. Two deadlines, since a lost cancellation costs
+    /// differently: a start after it is seen at once, a task that runs on is not
+    /// before `cancel_s`, and to end every answer with the short one would have each
+    /// outage end all work.
+    pub fn authority(&self, now: Micros) -> Authority {
+        if now >= self.authority_until() {
+            Authority::Ended
+        } else if self.fresh_at.is_some_and(|f| now < f + FRESH_FOR) {
+            Authority::Starting
+        } else {
+            Authority::Answering
+        }
+    }
+
+    /// Until when an owner may answer reports.
     pub fn authority_until(&self) -> Micros {
         let renewed = match self.owner.state {
             GrantState::Held { renewed, .. } | GrantState::Renewing { renewed, .. } => renewed,
--- a/src/sim.rs
+++ b/src/sim.rs
@@ -15,6 +15,8 @@
 use crate::settings::Settings;
 use crate::units::{Micros, MILLI, SECOND};
 
+mod meetings;
+
 enum Out {
     Respond(ConnId, Response),
     Call(CallId, Call),
@@ -130,6 +132,21 @@
     Blink(usize),
     /// The same for the one that leads.
     LeaderBlinks,
+    /// The state service refuses whoever leads, and nobody else.
+    RefuseLeader(Micros),
+    /// Users call off this many jobs that run, within a fifth of a second; their
+    /// machines may hang for a while from then on.
+    CancelRunning(usize, Micros),
+    /// Jobs are called off at the moment at which their last task ends.
+    CancelAtEnd(Micros),
+    /// A third of the transactions get no answer and are carried out 2 to 12 s later.
+    LateWrites(Micros),
+    /// Half of the machines reach no controller.
+    Mute(Micros),
+    /// The state service answers slowly.
+    SlowStore(Micros),
+    /// All controllers are away for so long.
+    AllAway(Micros),
 }
 
 /// A part of the safety argument left out on purpose, for the tests to catch.
@@ -142,6 +159,9 @@
     Undying,
     /// Any report is taken for the newest.
     Credulous,
+    /// Tasks are started for as long as reports are answered, and peers' word of
+    /// cancellations is passed over.
+    Eager,
 }
 
 struct Ctl {
@@ -157,6 +177,9 @@
     cut_mesh: Micros,
     /// Cuts to the state service reset instead of holding back.
     resets: bool,
+    /// Until when the state service refuses it alone.
+    refused: Micros,
+    away: Micros,
 }
 
 #[derive(Clone)]
@@ -180,6 +203,7 @@
     dead: bool,
     hangs: Micros,
     deaf: Micros,
+    mute: Micros,
 }
 
 #[derive(Default)]
@@ -239,6 +263,37 @@
     /// Until when copies of reports are made, and when the last trouble is over.
     copies: Micros,
     troubles_end: Micros,
+    late_writes: Micros,
+    slow_store: Micros,
+    cancel_at_end: Micros,
+    /// What happened, for tests to see that their day brought it about.
+    seen: Seen,
+}
+
+/// Counts of what a day brought about.
+#[derive(Default, Debug, Clone, PartialEq)]
+struct Seen {
+    /// Cancellations confirmed while a controller that leads was refused.
+    cancels_refused: u32,
+    /// Running tasks of jobs as their cancellation was confirmed.
+    cancelled_running: u32,
+    /// Starts later than 100 ms after a confirmed cancellation.
+    starts_after_cancel: u32,
+    /// Reports answered with 200 by a controller that the store refused, or in an
+    /// outage.
+    answered_blind: u32,
+    /// Starts by such a controller.
+    started_blind: u32,
+    /// Transactions carried out late.
+    late_writes: u32,
+    /// Cancellations asked for as the last task ended: told done, told cancelled.
+    at_end: (u32, u32),
+    /// Leases that ran out with tasks on the machine.
+    lapsed: u32,
+    /// Takings of a region.
+    takings: u32,
+    /// Changes of leader.
+    leaders: u32,
 }
 
 const LATENCY: Micros = MILLI;
@@ -289,6 +344,10 @@
             plant,
             copies: 0,
             troubles_end: 0,
+            late_writes: 0,
+            slow_store: 0,
+            cancel_at_end: 0,
+            seen: Seen::default(),
         };
         for i in 0..3 {
             w.ctls.push(Ctl {
@@ -303,6 +362,8 @@
                 cut_workers: 0,
                 cut_mesh: 0,
                 resets: false,
+                refused: 0,
+                away: 0,
             });
             w.at(1 + i as u64 * 50 * MILLI, Ev::Boot(i));
         }
@@ -363,7 +424,14 @@
                 | Fault::MachineHangs(d)
                 | Fault::MachineDeaf(d)
                 | Fault::Copies(d)
+                | Fault::RefuseLeader(d)
+                | Fault::CancelRunning(_, d)
+                | Fault::CancelAtEnd(d)
+                | Fault::Mute(d)
+                | Fault::SlowStore(d)
+                | Fault::AllAway(d)
                 | Fault::Alone(_, d, _) => *d,
+                Fault::LateWrites(d) => *d + 12 * SECOND,
                 _ => 5 * SECOND,
             };
             w.troubles_end = w.troubles_end.max(at + long);
@@ -449,6 +517,12 @@
             }
             Ev::User(id, what) => self.user(id, what),
             Ev::WatchEnds(n) => {
+                if let Some(&(i, ..)) = self.store.watches.get(&n) {
+                    let until = self.store.down.max(self.ctls[i].refused);
+                    if self.now < until {
+                        return self.at(until, Ev::WatchEnds(n));
+                    }
+                }
                 if let Some((i, life, id, from)) = self.store.watches.remove(&n) {
                     let r = self.changes(from);
                     self.back(i, life, id, Ok(r));
@@ -474,6 +548,7 @@
             Plant::Hasty => node.plant_hasty_takeover(),
             Plant::Undying => node.plant_undying(),
             Plant::Credulous => node.plant_credulous(),
+            Plant::Eager => node.plant_eager(),
         }
         c.node = Some(node);
         self.set_clock(i);
@@ -536,6 +611,28 @@
                             self.now + timeout,
                             Ev::Returned(i, life, id, Err(CallError::NoAnswer)),
                         );
+                    } else if call.target == "/commit"
+                        && self.now < self.late_writes
+                        && self.rng.u32(0..3) == 0
+                    {
+                        let late = self.now + SECOND * self.rng.u64(2..13);
+                        self.seen.late_writes += 1;
+                        self.at(late, Ev::Serve(i, u64::MAX, id, call));
+                        self.at(
+                            self.now + timeout,
+                            Ev::Returned(i, life, id, Err(CallError::NoAnswer)),
+                        );
+                    } else if call.dest == 0 && self.now < self.slow_store {
+                        let slow = self.rng.u64(50..1500) * MILLI;
+                        if slow > timeout {
+                            self.at(
+                                self.now + timeout,
+                                Ev::Returned(i, life, id, Err(CallError::NoAnswer)),
+                            );
+                            self.at(self.now + slow, Ev::Serve(i, u64::MAX, id, call));
+                        } else {
+                            self.at(self.now + slow, Ev::Serve(i, life, id, call));
+                        }
                     } else {
                         self.at(self.now + lag, Ev::Serve(i, life, id, call));
                     }
@@ -592,7 +689,7 @@
             return self.back(i, life, id, Ok(r));
         }
         self.expire_grants();
-        if self.now < self.store.down {
+        if self.now < self.store.down || self.now < self.ctls[i].refused {
             return self.back(i, life, id, Ok(Response::new(503, Vec::new())));
         }
         let r = match path.as_str() {
@@ -665,7 +762,13 @@
     }
 
     fn wake_watches(&mut self) {
-        let ready: Vec<u64> = self.store.watches.keys().copied().collect();
+        let ready: Vec<u64> = self
+            .store
+            .watches
+            .iter()
+            .filter(|(_, w)| self.now >= self.ctls[w.0].refused)
+            .map(|(n, _)| *n)
+            .collect();
         for n in ready {
             if let Some((i, life, id, from)) = self.store.watches.remove(&n) {
                 let r = self.changes(from);
@@ -733,6 +836,8 @@
             if let Some(k) = a["put"].as_str() {
                 assert!(a["value"].to_string().len() <= 4096, "value too large: {k}");
                 let v = (a["value"].clone(), m, a["tenure"].as_u64());
+                self.seen.takings += u32::from(k.starts_with("st/region/"));
+                self.seen.leaders += u32::from(k == "st/leader");
                 self.store.data.insert(k.into(), v);
                 self.store.log.push((m, k.into(), Some(a["value"].clone())));
             } else if let Some(k) = a["delete"].as_str() {
@@ -797,6 +902,7 @@
                         dead: false,
                         hangs: 0,
                         deaf: 0,
+                        mute: 0,
                     };
                     self.workers.insert(name.clone(), w);
                     self.history.insert(name.clone(), (self.now, None));
@@ -841,6 +947,7 @@
         }
         if now > w.answered + 16 * SECOND {
             w.season += 1;
+            self.seen.lapsed += u32::from(!w.tasks.is_empty());
             w.tasks.clear();
             w.answered = now;
         }
@@ -882,7 +989,15 @@
         // Without an answer for 4 s the worker turns to the next node.
         self.at(now + 4 * SECOND, Ev::Report(name.into(), t));
         let lag = self.lag();
-        if now < self.ctls[to].cut_workers {
+        if self.workers.get(name).is_some_and(|w| now < w.mute) {
+            // No connection to anyone: it tries the next a second later.
+            if let Some(w) = self.workers.get_mut(name) {
+                w.at = (to + 1) % 3;
+                w.timer += 1;
+                let t = w.timer;
+                self.at(now + SECOND, Ev::Report(name.into(), t));
+            }
+        } else if now < self.ctls[to].cut_workers {
             // Half of what a cut holds back comes late, the rest never.
             if self.rng.bool() {
                 let at = self.ctls[to].cut_workers + lag;
@@ -951,6 +1066,9 @@
         let soon = token > w.token || v["calls"].as_array().is_some_and(|c| !c.is_empty());
         w.token = token;
         w.answered = sent;
+        let at = w.at;
+        let blind = now < self.store.down || now < self.ctls[at].refused;
+        self.seen.answered_blind += u32::from(blind);
         for c in v["calls"].as_array().cloned().unwrap_or_default() {
             let task = c["sheaf"].as_str().unwrap().to_owned();
             let attempt = c["sowing"].as_u64().unwrap();
@@ -986,7 +1104,11 @@
                     let what = format!("{task} starts on {name} while on {m}");
                     return self.breaks("ran_twice", what);
                 }
+                let at = self.workers[name].at;
+                let blind = self.now < self.store.down || self.now < self.ctls[at].refused;
+                self.seen.started_blind += u32::from(blind);
                 if let Some(t) = j.cancel_told {
+                    self.seen.starts_after_cancel += u32::from(self.now > t + 100 * MILLI);
                     if self.now > t + 41 * SECOND {
                         return self.breaks("ran_cancelled", task);
                     }
@@ -1137,6 +1259,12 @@
                     } else {
                         j.done.insert(n);
                     }
+                    let last = j.done.len() as u32 == j.tasks;
+                    if last && now < self.cancel_at_end && !j.cancel_asked {
+                        let soon = now + self.rng.u64(0..200) * MILLI;
+                        let id = job.to_owned();
+                        self.at(soon, Ev::User(id, What::Abort));
+                    }
                 }
             }
         }
@@ -1245,9 +1373,21 @@
         if matches!(stage.as_str(), "done" | "cancelled") && j.told_at == 0 {
             j.told_at = now;
         }
+        if what == What::Abort && (j.done.len() as u32) == j.tasks {
+            self.seen.at_end.0 += u32::from(stage == "done");
+            self.seen.at_end.1 += u32::from(stage == "cancelled");
+        }
         match stage.as_str() {
             "done" => j.done_told = true,
             "cancelled" => {
+                if j.cancel_told.is_none() {
+                    let refused = self.ctls.iter().any(|c| now < c.refused);
+                    self.seen.cancels_refused += u32::from(refused);
+                    let prefix = format!("{id}/");
+                    let on = self.workers.values().flat_map(|w| w.tasks.iter());
+                    let on = on.filter(|(t, s)| t.starts_with(&prefix) && s.stage != "ended");
+                    self.seen.cancelled_running += on.count() as u32;
+                }
                 j.cancel_told.get_or_insert(now);
             }
             _ => {}
@@ -1281,6 +1421,48 @@
                     *until = now + d + *life;
                 }
             }
+            Fault::RefuseLeader(d) => {
+                let i = self.leads();
+                self.ctls[i].refused = now + d;
+            }
+            Fault::CancelRunning(n, hang) => {
+                let mut ids: Vec<String> = Vec::new();
+                let mut on: Vec<String> = Vec::new();
+                for (m, w) in &self.workers {
+                    for (t, s) in &w.tasks {
+                        let id = crate::model::parse_task(t).unwrap().0.to_owned();
+                        if s.stage != "ended" && !ids.contains(&id) && ids.len() < n {
+                            ids.push(id);
+                            on.push(m.clone());
+                        }
+                    }
+                }
+                for id in ids {
+                    let at = now + self.rng.u64(0..200) * MILLI;
+                    self.at(at, Ev::User(id, What::Abort));
+                }
+                for m in on {
+                    if let Some(w) = self.workers.get_mut(&m) {
+                        w.hangs = w.hangs.max(now + hang);
+                    }
+                }
+            }
+            Fault::CancelAtEnd(d) => self.cancel_at_end = now + d,
+            Fault::LateWrites(d) => self.late_writes = now + d,
+            Fault::SlowStore(d) => self.slow_store = now + d,
+            Fault::Mute(d) => {
+                for w in self.workers.values_mut() {
+                    if self.rng.bool() {
+                        w.mute = now + d;
+                    }
+                }
+            }
+            Fault::AllAway(d) => {
+                for i in 0..3 {
+                    self.ctls[i].away = now + d;
+                    self.fault(Fault::Blink(i));
+                }
+            }
             Fault::CutStore(i, d) => self.ctls[i].cut_store = now + d,
             Fault::CutWorkers(i, d) => self.ctls[i].cut_workers = now + d,
             Fault::CutMesh(i, d) => self.ctls[i].cut_mesh = now + d,
@@ -1293,13 +1475,8 @@
                 c.resets = resets;
             }
             Fault::LeaderBlinks => {
-                let holder = self.store.data.get("st/leader");
-                let name = holder.and_then(|(v, ..)| v["holder"].as_str().map(str::to_owned));
-                let i = self
-                    .settings
-                    .iter()
-                    .position(|s| Some(&s.name) == name.as_ref());
-                self.fault(Fault::Blink(i.unwrap_or(0)));
+                let i = self.leads();
+                self.fault(Fault::Blink(i));
             }
             Fault::Blink(i) => {
                 if self.ctls[i].node.take().is_some() {
@@ -1307,7 +1484,8 @@
                         self.fail(asker);
                     }
                     let wait = self.rng.u64(50..900) * MILLI;
-                    self.at(now + wait, Ev::Boot(i));
+                    let at = (now + wait).max(self.ctls[i].away + wait);
+                    self.at(at, Ev::Boot(i));
                 }
             }
             Fault::MachineDies
@@ -1338,6 +1516,23 @@
         }
     }
 
+    /// Jobs that are not over, or not even accepted.
+    fn left_open(&self) -> Vec<&String> {
+        let open = |j: &Job| !j.accepted || !(j.done_told || j.cancel_told.is_some());
+        let left = self.jobs.iter().filter(|(_, j)| open(j));
+        left.map(|(id, _)| id).collect()
+    }
+
+    /// Who is on record as the leader.
+    fn leads(&self) -> usize {
+        let holder = self.store.data.get("st/leader");
+        let name = holder.and_then(|(v, ..)| v["holder"].as_str().map(str::to_owned));
+        let mut names = self.settings.iter();
+        names
+            .position(|s| Some(&s.name) == name.as_ref())
+            .unwrap_or(0)
+    }
+
     /// Once all troubles are over, no accepted job is left without an answer for
     /// 75 s, however the others fare, and whether it is over or not.
     fn check_known(&mut self) {
@@ -1595,6 +1790,7 @@
         dead: false,
         hangs: 0,
         deaf: 0,
+        mute: 0,
     };
     let task = Task {
         attempt: 4 << 24 | 7,
