Pipelines: jobs wait for those that they need and are cancelled along with them

A submission may name jobs that must be done first. What waits, is ready or is cancelled along is derived from the records alone, alike by every controller (registry/pipelines.rs); a job that waits is bound to no region and stands in no list, so it holds no share, guarantee or rental. Rank and deadline flow back to what is needed, times count from readiness (written with 'done'); nothing derived is put on record. Needed jobs that are not in the replica are looked for by a read begun after the request: 422 if there is no record, 503 if no read. Records without needs are byte for byte as before; limits to come (state.next) bound what is written from the start.

--- a/src/intake.rs
+++ b/src/intake.rs
@@ -46,6 +46,8 @@
         pub bind: f64,
         #[serde(default, rename = "harvestS")]
         pub harvest: Option<f64>,
+        #[serde(default)]
+        pub trails: Option<Vec<String>>,
     }
 
     #[derive(Serialize)]
@@ -72,8 +74,15 @@
     /// 503.
     #[error("can't be decided yet: {0}")]
     NotYet(&'static str),
+    /// 400.
+    #[error("needs too many jobs: a record keeps about {0} of them")]
+    Needs(usize),
 }
 
+/// What a needed job takes up in a record: its id in quotes and a comma, ids of up to
+/// ten digits.
+const NEED_BYTES: usize = 17;
+
 /// Whether bytes begin a MessagePack map; a list would be read as one too.
 fn is_map(body: &[u8]) -> bool {
     matches!(body.first(), Some(0x80..=0x8f | 0xde | 0xdf))
@@ -129,6 +138,14 @@
             spot: w.fallow,
             image: w.seed.clone(),
             submitted: wall,
+            needs: {
+                let needs: std::collections::BTreeSet<_> = w.trails.iter().flatten().collect();
+                if needs.iter().any(|n| !is_job_id(n) || **n == w.id) {
+                    return None;
+                }
+                needs.into_iter().cloned().collect()
+            },
+            recorded: None,
         })
     };
     // Keys may not hold more than 200 bytes, nor the record more than a value.
@@ -174,7 +191,17 @@
             return Err(Refusal::Never("it must be spread over more zones than fit"));
         }
     }
-    if serde_json::to_string(spec).map_or(usize::MAX, |s| s.len()) + 1024 > settings.value_bytes {
+    let length = |s: &JobSpec| serde_json::to_string(s).map_or(usize::MAX, |t| t.len()) + 1024;
+    if length(spec) > settings.value_bytes {
+        if !spec.needs.is_empty() {
+            let bare = length(&JobSpec {
+                needs: Vec::new(),
+                ..spec.clone()
+            });
+            if let Some(room) = settings.value_bytes.checked_sub(bare) {
+                return Err(Refusal::Needs(room / NEED_BYTES));
+            }
+        }
         return Err(Refusal::Never("its description is too long to keep"));
     }
     Ok(())
@@ -301,6 +328,10 @@
             ("plots", json!("g8")),
             ("harvestS", json!(-1)),
             ("seed", json!(null)),
+            ("trails", json!("req-1")),
+            ("trails", json!([7])),
+            ("trails", json!(["x-1"])),
+            ("trails", json!(["req-000001", "req-000412"])),
         ];
         for field in ["nameId", "crew", "sheaves", "cores", "fallow", "bindS"] {
             cases.push((field, Value::Null));
@@ -322,6 +353,15 @@
                 "{field} may be left out"
             );
         }
+        for (trails, needs) in [
+            (json!(null), vec![]),
+            (json!([]), vec![]),
+            (json!(["req-2", "req-1", "req-2"]), vec!["req-1", "req-2"]),
+        ] {
+            let mut v = good();
+            v["trails"] = trails;
+            assert_eq!(parse_submission(&bytes(&v), 0).unwrap().1.needs, needs);
+        }
         let mut missing = good();
         missing.as_object_mut().unwrap().remove("stookS");
         assert!(parse_submission(&bytes(&missing), 0).is_err());
@@ -363,6 +403,13 @@
             Ok(()),
             "two zones"
         );
+        // A list that no record holds: 400, with the bound.
+        let many = |n: usize| with(&|s| s.needs = (0..n).map(|i| format!("req-{i:06}")).collect());
+        assert_eq!(many(100), Ok(()));
+        let Err(Refusal::Needs(bound)) = many(400) else {
+            panic!("taken");
+        };
+        assert!(many(bound).is_ok() && bound > 100, "{bound}");
         for (what, res) in [
             ("team", with(&|s| s.team = "green".into())),
             ("type", with(&|s| s.types = Some(vec!["x".into()]))),
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -12,7 +12,7 @@
 use crate::mesh::{Message, RegionReport};
 use crate::model::{Flavor, JobSpec, Kind};
 use crate::region::{narrow_type, waiting_spans, NarrowMemory, View};
-use crate::registry::records::{value, JobRecord, Joint, Key, LotRecord, Part, LOT};
+use crate::registry::records::{value, JobRecord, Joint, Key, LotRecord, Part, Stage, LOT};
 use crate::registry::replica::Versioned;
 use crate::registry::{Txn, Urgency};
 use crate::units::{to_secs, Micros, MILLI, SECOND};
@@ -301,8 +301,34 @@
 
     // --- Binding -------------------------------------------------------------
 
+    /// Puts on record that jobs were cancelled along with those that they need. Everybody
+    /// derives it from the records, so nothing hangs on when this comes: it is for the
+    /// versions before 0.3, should one ever be brought back, and for the index.
+    fn write_called_off(&mut self, v: &View<'_>) {
+        const AT_ONCE: usize = 4;
+        let ids = v.replica.pipelines.called_off().iter();
+        let ids = ids.filter(|id| !self.writing.contains(&Key::Job((*id).clone())));
+        let changes: Vec<_> = ids
+            .take(AT_ONCE)
+            .filter_map(|id| {
+                let r = v.replica.jobs.get(id)?;
+                let rec = JobRecord {
+                    stage: Stage::Cancelled,
+                    parts: Vec::new(),
+                    joint: None,
+                    ..r.value.clone()
+                };
+                Some((Key::Job(id.clone()), r.mark, value(&rec)))
+            })
+            .collect();
+        if !changes.is_empty() {
+            self.commit(changes, Urgency::Later, v);
+        }
+    }
+
     /// Binds every job that is not bound yet.
     pub fn bind(&mut self, v: &View<'_>) {
+        self.write_called_off(v);
         if v.replica.unbound.is_empty() {
             return;
         }
--- a/src/model.rs
+++ b/src/model.rs
@@ -126,9 +126,18 @@
     /// Time to be complete after submission.
     #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
     pub deadline: Option<Micros>,
-    /// Time of day at submission.
+    /// Time of day at submission; of a job that waited for others, as the replica shows
+    /// it, that of the end of the last of them.
     #[serde(rename = "a")]
     pub submitted: Micros,
+    /// Jobs that must be done before any task of this one starts. Left out where there
+    /// are none, so that such a record is the same as those of versions before 0.3.
+    #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
+    pub needs: Vec<String>,
+    /// The job as it stands on record, if what is said here differs: rank and deadline
+    /// that it has from jobs that need it, times from its readiness.
+    #[serde(skip)]
+    pub recorded: Option<Rc<JobSpec>>,
 }
 
 impl JobSpec {
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,7 +9,7 @@
 use crate::intake::{self, Limiter, Refusal};
 use crate::leader::{self, Leader, Reports};
 use crate::mesh::{self, Message};
-use crate::model::is_job_id;
+use crate::model::{is_job_id, JobSpec};
 use crate::quota;
 use crate::reactor::{Call, CallError, CallId, ConnId, Limits, Net, NetEvent, Reactor};
 use crate::region::{self, Region, Verdict, View};
@@ -26,12 +26,14 @@
 const CLOUD: usize = 1;
 
 /// What a user waits for.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug)]
 enum Ask {
     /// Where a job stands; `submitted` if it is the repeat of a submission.
     State { id: String, submitted: bool },
     /// Cancel it.
     Cancel { id: String },
+    /// Take it, if all that it needs was accepted once.
+    Submit { id: String, spec: Box<JobSpec> },
 }
 
 /// A request that waits for a read that begins after it came.
@@ -501,6 +503,7 @@
         let known = &self.registry.replica.jobs;
         self.called_off
             .retain(|id| known.get(id).is_none_or(|r| r.value.stage == Stage::Open));
+        self.registry.replica.take_reshaped();
         let v = view!(self);
         for r in self.regions.values_mut() {
             r.on_loaded(&v);
@@ -509,6 +512,7 @@
 
     fn on_changed(&mut self, keys: Vec<Key>) {
         let machines = self.registry.replica.take_touched();
+        let reshaped = self.registry.replica.take_reshaped();
         let v = view!(self);
         for name in &machines {
             for r in self.regions.values_mut() {
@@ -520,6 +524,11 @@
                 }
             }
         }
+        for id in &reshaped {
+            for r in self.regions.values_mut() {
+                r.on_job(id, &v, false);
+            }
+        }
         let mut shown = Vec::new();
         for key in keys {
             match &key {
@@ -1068,6 +1077,10 @@
                 }
             }
         }
+        let held = r.pipelines.waiting().len() as u32;
+        if held > 0 {
+            waiting.insert("(jobs that wait for others)".to_owned(), held);
+        }
         let regions = self.settings.regions().into_iter().map(|name| {
             let rep = self.reports.get(&name).map(|(r, _)| r);
             let rec = r.regions.get(&name).map(|r| &r.value);
@@ -1260,6 +1273,11 @@
                 log::info!("intake: {id}: {why}");
                 return self.refuse(conn, 503, 1);
             }
+            Err(e @ Refusal::Needs(_)) => {
+                log::info!("intake: {id}: {e}");
+                let body = e.to_string().into_bytes();
+                return self.reactor.respond(conn, Response::new(400, body));
+            }
             Err(e) => {
                 // It may have been accepted elsewhere a moment ago, before we
                 // heard: only the records can say.
@@ -1277,12 +1295,34 @@
                 return;
             }
         }
+        // A record once seen stays; that one is missing can only be said after a read.
+        let jobs = &self.registry.replica.jobs;
+        if !spec.needs.iter().all(|n| jobs.contains_key(n)) {
+            self.waiting.push(Waiting {
+                conn,
+                ask: Ask::Submit {
+                    id,
+                    spec: Box::new(spec),
+                },
+                came: self.now,
+                give_up: self.now + ASK_PATIENCE,
+            });
+            self.registry.want_barrier();
+            return;
+        }
+        let came = self.now;
+        self.accept(conn, id, spec, came);
+    }
+
+    /// Puts a new job on record; the answer goes out when it is.
+    fn accept(&mut self, conn: ConnId, id: String, spec: JobSpec, came: Micros) {
         let key = Key::Job(id.clone());
         let rec = JobRecord {
             stage: Stage::Open,
             spec: Some(std::rc::Rc::new(spec)),
             parts: Vec::new(),
             joint: None,
+            ended: None,
         };
         let txn = Txn {
             when: vec![(key.clone(), 0)],
@@ -1291,23 +1331,22 @@
         };
         let t = self
             .registry
-            .commit(txn, Urgency::First, Some(self.now + ASK_PATIENCE));
+            .commit(txn, Urgency::First, Some(came + ASK_PATIENCE));
         self.users_busy += 1;
-        let came = self.now;
         self.tickets.insert(t, Ticket::Submit { conn, id, came });
     }
 
     fn on_ask(&mut self, conn: ConnId, ask: Ask) {
         let id = match &ask {
-            Ask::State { id, .. } | Ask::Cancel { id } => id,
+            Ask::State { id, .. } | Ask::Cancel { id } | Ask::Submit { id, .. } => id,
         };
         if !is_job_id(id) {
             return self.reactor.respond(conn, Response::new(404, Vec::new()));
         }
         // What is final needs no asking round.
-        if let Some(r) = self.registry.replica.jobs.get(id) {
-            if r.value.stage != Stage::Open {
-                let body = self.state(id, r.value.stage);
+        if let Some(stage) = self.registry.replica.stage(id) {
+            if stage != Stage::Open {
+                let body = self.state(id, stage);
                 return self.reactor.respond(conn, Response::new(200, body));
             }
         }
@@ -1376,14 +1415,25 @@
         for w in ready {
             match w.ask {
                 Ask::State { id, submitted } => {
-                    let r = match self.registry.replica.jobs.get(&id) {
-                        Some(r) => Response::new(200, self.state(&id, r.value.stage)),
+                    let r = match self.registry.replica.stage(&id) {
+                        Some(stage) => Response::new(200, self.state(&id, stage)),
                         None if submitted => Response::new(422, Vec::new()),
                         None => Response::new(404, Vec::new()),
                     };
                     self.reactor.respond(w.conn, r);
                 }
                 Ask::Cancel { id } => self.cancel(w.conn, id, w.give_up),
+                Ask::Submit { id, spec } => {
+                    // All that came before the read was sent is in the replica: what is
+                    // not there now was never accepted.
+                    let jobs = &self.registry.replica.jobs;
+                    if let Some(n) = spec.needs.iter().find(|n| !jobs.contains_key(*n)) {
+                        log::info!("intake: {id}: needs {n}, which was never accepted");
+                        self.reactor.respond(w.conn, Response::new(422, Vec::new()));
+                    } else {
+                        self.accept(w.conn, id, *spec, w.came);
+                    }
+                }
             }
         }
     }
@@ -1392,8 +1442,9 @@
         let Some(r) = self.registry.replica.jobs.get(&id) else {
             return self.reactor.respond(conn, Response::new(404, Vec::new()));
         };
-        if r.value.stage != Stage::Open {
-            let body = self.state(&id, r.value.stage);
+        let stage = self.registry.replica.stage(&id).unwrap_or(r.value.stage);
+        if stage != Stage::Open {
+            let body = self.state(&id, stage);
             return self.reactor.respond(conn, Response::new(200, body));
         }
         let key = Key::Job(id.clone());
@@ -1402,6 +1453,7 @@
             spec: r.value.spec.clone(),
             parts: Vec::new(),
             joint: None,
+            ended: None,
         };
         let txn = Txn {
             when: vec![(key.clone(), r.mark)],
@@ -1430,7 +1482,9 @@
                 match outcome {
                     Outcome::Done(_) => {
                         log::debug!("intake: {id}: accepted");
-                        let body = intake::state_body(&id, Stage::Open, None);
+                        // Cancelled at once, if one that it needs is.
+                        let stage = self.registry.replica.stage(&id).unwrap_or(Stage::Open);
+                        let body = intake::state_body(&id, stage, None);
                         self.reactor.respond(conn, Response::new(201, body));
                     }
                     Outcome::Conflict(_) => {
--- a/src/region/mod.rs
+++ b/src/region/mod.rs
@@ -339,8 +339,8 @@
 impl View<'_> {
     /// Whether nothing of a job is to run any more, or it is on no record.
     fn over(&self, id: &str) -> bool {
-        let rec = self.replica.jobs.get(id);
-        rec.is_none_or(|r| r.value.stage != Stage::Open) || self.called_off.contains(id)
+        let stage = self.replica.stage(id);
+        stage != Some(Stage::Open) || self.called_off.contains(id)
     }
 }
 
@@ -510,6 +510,14 @@
         let Some(spec) = rec.spec.as_ref() else {
             return;
         };
+        // Only ready jobs are bound. Guards against records that say otherwise, of a
+        // damaged store perhaps: nothing of such a job may start.
+        if key.is_none() && !v.replica.is_ready(spec) {
+            if !mine.is_empty() {
+                log::error!("region: {id}: bound, but what it needs isn't done; left alone");
+            }
+            return;
+        }
         if self.narrow.note(spec, v.replica, v.now) {
             self.keep_clear(v);
         }
@@ -522,6 +530,14 @@
             .jobs
             .entry(id.clone())
             .or_insert_with(|| Job::new(spec, narrow_to, v.now));
+        if job.spec != *spec {
+            // Another job that needs this one came or went.
+            job.spec = spec.clone();
+            self.rekey(&id, v);
+        }
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
         // A part of it is with nobody: it is to be bound anew.
         let given_up = rec.parts.iter().any(|p| p.2.is_empty());
         if job.joint != rec.joint || job.given_up != given_up {
--- a/src/region/records.rs
+++ b/src/region/records.rs
@@ -130,6 +130,7 @@
                     spec: None,
                     parts: Vec::new(),
                     joint: None,
+                    ended: Some(v.wall),
                 })),
             )];
             if let Some(chunks) = v.replica.progress.get(&**id) {
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -9,6 +9,7 @@
 //!   everything up to "now", and `renewed_at` that of the last renewal: both are
 //!   earlier than what they prove.
 
+pub mod pipelines;
 pub mod records;
 pub mod replica;
 
@@ -345,7 +346,7 @@
             in_flight: 0,
             requests: Bucket::new(share * 0.95),
             writes: Bucket::new(s.store_writes * most),
-            write_floor: s.store_writes * 0.95 / n,
+            write_floor: s.store_writes_least * 0.95 / n,
             write_most: s.store_writes * most,
             out: Vec::new(),
             commit_times: Vec::new(),
--- /dev/null
+++ b/src/registry/pipelines/tests.rs
@@ -0,0 +1,167 @@
+//! Tables of cases for jobs that need others, on records alone.
+
+use serde_json::{json, Value};
+
+use crate::model::Rank;
+use crate::registry::records::{value, JobRecord, Key, Stage};
+use crate::registry::replica::Replica;
+
+/// A replica, written to as the state service's events would.
+#[derive(Default)]
+struct Records {
+    r: Replica,
+    rev: u64,
+}
+
+impl Records {
+    fn put(&mut self, id: &str, v: Value) {
+        self.rev += 1;
+        self.r.event(&format!("st/job/{id}"), Some(v), self.rev);
+        self.r.reached(self.rev);
+    }
+
+    fn open(&mut self, id: &str, needs: &[&str], more: Value) {
+        let mut j = json!({"c": "x", "t": "red", "k": "a", "r": "0", "n": 2, "u": 1, "i": "img",
+            "e": 10_000_000, "a": 100_000_000, "w": needs});
+        for (k, v) in more.as_object().into_iter().flatten() {
+            j[k] = v.clone();
+        }
+        self.put(id, json!({"st": "o", "j": j}));
+    }
+
+    fn done(&mut self, id: &str, at: u64) {
+        self.put(id, json!({"st": "d", "t": at}));
+    }
+
+    fn cancelled(&mut self, id: &str) {
+        self.put(id, json!({"st": "c"}));
+    }
+
+    /// One letter a job: waits, ready (to be bound), cancelled, done, unknown.
+    fn stand(&self, ids: &[&str]) -> String {
+        let one = |id: &&str| match self.r.stage(id) {
+            None => '-',
+            Some(Stage::Done) => 'd',
+            Some(Stage::Cancelled) => 'c',
+            Some(Stage::Open) if self.r.pipelines.waiting().contains(*id) => 'w',
+            Some(Stage::Open) if self.r.unbound.contains(*id) => 'r',
+            Some(Stage::Open) => '?',
+        };
+        ids.iter().map(one).collect()
+    }
+}
+
+/// Whatever the order in which the records are read, all controllers find the same.
+#[test]
+fn gates() {
+    // What happens, by job; then how jobs 1 to 5 stand. 2 and 3 need 1, 4 both, 5 four.
+    let cases: [(&[(&str, &str)], &str); 7] = [
+        (&[], "rwwww"),
+        (&[("1", "d")], "drrww"),
+        (&[("1", "d"), ("2", "d")], "ddrww"),
+        (&[("1", "d"), ("2", "d"), ("3", "d")], "dddrw"),
+        (&[("1", "c")], "ccccc"),
+        (&[("1", "d"), ("3", "c")], "drccc"),
+        (&[("4", "c")], "rwwcc"),
+    ];
+    let needs: [(&str, &[&str]); 5] = [
+        ("1", &[]),
+        ("2", &["1"]),
+        ("3", &["1"]),
+        ("4", &["2", "3"]),
+        ("5", &["4"]),
+    ];
+    for (events, stand) in cases {
+        for backwards in [false, true] {
+            for events_first in [false, true] {
+                let mut f = Records::default();
+                let over = |f: &mut Records| {
+                    for (id, what) in events {
+                        match *what {
+                            "d" => f.done(id, 200_000_000),
+                            _ => f.cancelled(id),
+                        }
+                    }
+                };
+                if events_first {
+                    over(&mut f);
+                }
+                let mut order: Vec<_> = needs.iter().collect();
+                if backwards {
+                    order.reverse();
+                }
+                for (id, n) in order {
+                    if !(events_first && events.iter().any(|e| e.0 == *id)) {
+                        f.open(id, n, json!({}));
+                    }
+                }
+                if !events_first {
+                    over(&mut f);
+                }
+                let case = format!("{events:?} backwards {backwards}, first {events_first}");
+                assert_eq!(f.stand(&["1", "2", "3", "4", "5"]), stand, "{case}");
+                // What waits counts in no list of the team or the regions.
+                let ready = stand.matches('r').count();
+                assert_eq!(f.r.open.len(), ready, "{case}");
+                assert_eq!(f.r.teams.get("red").map_or(0, |t| t.len()), ready, "{case}");
+            }
+        }
+    }
+}
+
+/// A needed job with no record: it waits, and nothing starts.
+#[test]
+fn a_lost_record() {
+    let mut f = Records::default();
+    f.open("2", &["1"], json!({}));
+    assert_eq!(f.stand(&["1", "2"]), "-w");
+}
+
+/// Rank and deadline flow back, times count from readiness, and none of it is ever
+/// written to the records.
+#[test]
+fn served_by_what_comes_after() {
+    let mut f = Records::default();
+    f.open("1", &[], json!({}));
+    f.open("2", &["1"], json!({"e": 20_000_000}));
+    f.open(
+        "3",
+        &["2"],
+        json!({"r": "2", "e": 5_000_000, "d": 300_000_000}),
+    );
+    let spec = |f: &Records, id: &str| f.r.jobs[id].value.spec.clone().unwrap();
+    // From the submission 300 s, less 5 for the last; less 20 more for the second.
+    for (id, deadline) in [("1", 275_000_000), ("2", 295_000_000), ("3", 300_000_000)] {
+        let s = spec(&f, id);
+        assert_eq!((s.rank, s.deadline), (Rank::High, Some(deadline)), "{id}");
+        let written = value(&f.r.jobs[id].value);
+        let own = if id == "3" { "2" } else { "0" };
+        assert_eq!(written["j"]["r"], json!(own), "{id}: {written}");
+        assert_eq!(written["j"]["a"], json!(100_000_000), "{id}");
+        assert_eq!(written["j"]["d"].is_null(), id != "3", "{id}");
+    }
+    f.done("1", 150_000_000);
+    let s = spec(&f, "2");
+    assert_eq!((s.submitted, s.deadline), (150_000_000, Some(245_000_000)));
+    // The last is cancelled: nobody presses any more.
+    f.cancelled("3");
+    let s = spec(&f, "2");
+    assert_eq!((s.rank, s.deadline), (Rank::Low, None));
+}
+
+/// A record without needs is the same as versions before 0.3 wrote it, byte for byte,
+/// and theirs, captured from them, are read and written back unchanged.
+#[test]
+fn records_of_both_versions() {
+    for text in [
+        r#"{"b":[[0,3,"t-1"]],"j":{"a":1,"c":"x","e":10000000,"i":"img","k":"a","m":1000000,"n":3,"r":"1","s":1000000,"t":"red","u":1000000},"st":"o"}"#,
+        r#"{"b":[[0,2,"t-0"],[2,3,"t-2"]],"g":[9,null],"j":{"a":1,"c":"l","d":5,"f":true,"i":"img","k":"g","n":3,"o":true,"r":"3","t":"blue","u":2,"x":3,"y":["g8"],"z":"a"},"st":"o"}"#,
+        r#"{"j":{"a":1,"c":"x","i":"img","k":"s","n":3,"r":"0","t":"red","u":500000},"st":"c"}"#,
+        r#"{"st":"d"}"#,
+    ] {
+        let v: Value = serde_json::from_str(text).unwrap();
+        let rec: JobRecord = serde_json::from_value(v.clone()).unwrap();
+        assert_eq!(value(&rec), v, "{text}");
+        assert!(Key::parse("st/job/req-1").is_some());
+    }
+}
--- a/src/registry/records.rs
+++ b/src/registry/records.rs
@@ -187,7 +187,12 @@
     pub stage: Stage,
     /// The submission; kept for cancelled jobs too, whose tasks may still
     /// count against the team's limit, dropped for done ones.
-    #[serde(rename = "j", default, skip_serializing_if = "Option::is_none")]
+    #[serde(
+        rename = "j",
+        default,
+        skip_serializing_if = "Option::is_none",
+        serialize_with = "as_recorded"
+    )]
     pub spec: Option<std::rc::Rc<JobSpec>>,
     /// Which regions hold which tasks; empty: not bound yet.
     #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
@@ -196,6 +201,22 @@
     /// and the zone that all keep to if they must be together.
     #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
     pub joint: Option<Joint>,
+    /// Of a done job: the time of day at which that was put on record. Jobs that need it
+    /// count their times from there, under every leader alike.
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    pub ended: Option<crate::units::Micros>,
+}
+
+/// Writes a submission as it came: what the replica derives from other records is
+/// never put on record.
+fn as_recorded<S: serde::Serializer>(
+    spec: &Option<std::rc::Rc<JobSpec>>,
+    s: S,
+) -> Result<S::Ok, S::Error> {
+    match spec {
+        Some(j) => j.recorded.as_ref().unwrap_or(j).serialize(s),
+        None => s.serialize_none(),
+    }
 }
 
 /// What the parts of a gang over several regions have in common.
--- a/src/registry/replica.rs
+++ b/src/registry/replica.rs
@@ -6,9 +6,10 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
+use super::pipelines::{Gate, Pipelines};
 use super::records::{
     read_bitmap, JobRecord, Key, LeaderRecord, LotRecord, MachineRecord, Part, QuotaRecord,
-    RegionRecord, RollRecord,
+    RegionRecord, RollRecord, Stage,
 };
 use crate::model::{Flavor, JobSpec, RangeSet};
 use crate::settings::Amount;
@@ -44,7 +45,7 @@
     pub stock: BTreeMap<String, BTreeMap<(String, String, bool), u32>>,
     /// Jobs.
     pub jobs: BTreeMap<String, Versioned<JobRecord>>,
-    /// Names of the jobs that are not over.
+    /// Names of the jobs that are not over and wait for no others.
     pub open: std::collections::BTreeSet<String>,
     /// Names of the open jobs that are bound to no region.
     pub unbound: std::collections::BTreeSet<String>,
@@ -68,6 +69,10 @@
     pub unreadable: std::collections::BTreeSet<Key>,
     /// Machines whose view changed since they were last asked for.
     touched: std::collections::BTreeSet<String>,
+    /// Jobs that need others.
+    pub pipelines: Pipelines,
+    /// Jobs that another job's record has changed, since they were last asked for.
+    reshaped: std::collections::BTreeSet<String>,
 }
 
 fn set<K: Ord, T: DeserializeOwned>(
@@ -185,9 +190,20 @@
                 res
             }
             Key::Job(j) => {
+                let needed = self.jobs.get(j).and_then(|r| r.value.open());
+                let needed = needed.map_or_else(Vec::new, |s| s.needs.clone());
                 self.count_job(j, false);
                 let res = set(&mut self.jobs, j.clone(), value, mark);
                 self.count_job(j, true);
+                if res.is_ok() {
+                    self.follow_pipeline(j);
+                    // One that is over asks no more of those that it needed.
+                    if self.jobs.get(j).is_none_or(|r| r.value.open().is_none()) {
+                        for n in needed {
+                            self.reshape(&n);
+                        }
+                    }
+                }
                 res
             }
             Key::Quota(t) => set(&mut self.quotas, t.clone(), value, mark),
@@ -216,6 +232,55 @@
         done.is_ok()
     }
 
+    /// Jobs that are to be served otherwise because of another's record, since the last
+    /// call.
+    pub fn take_reshaped(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.reshaped).into_iter().collect()
+    }
+
+    /// Where a job stands: as on record, or cancelled along with one that it needs.
+    pub fn stage(&self, id: &str) -> Option<Stage> {
+        let on_record = self.jobs.get(id)?.value.stage;
+        if self.pipelines.called_off().contains(id) {
+            return Some(Stage::Cancelled);
+        }
+        Some(on_record)
+    }
+
+    /// Whether all that a job needs is done.
+    pub fn is_ready(&self, spec: &JobSpec) -> bool {
+        spec.needs.is_empty() || self.pipelines.gate(spec, &self.jobs) == Gate::Ready
+    }
+
+    /// A job's record changed: those that need it may be ready, or cancelled along, and
+    /// those that it needs are to be served otherwise.
+    fn follow_pipeline(&mut self, id: &str) {
+        let mut todo = vec![id.to_owned()];
+        while let Some(id) = todo.pop() {
+            if self.stage(&id).is_none_or(|s| s == Stage::Open) {
+                continue;
+            }
+            let next: Vec<String> = self.pipelines.followers(&id).cloned().collect();
+            for f in next {
+                self.count_job(&f, false);
+                self.count_job(&f, true);
+                if self.stage(&f) != Some(Stage::Open) {
+                    log::debug!("registry: {f}: cancelled along with {id}");
+                    todo.push(f);
+                } else if self.open.contains(&f) {
+                    log::debug!("registry: {f}: ready, {id} was the last that it needs");
+                    self.reshape(&f);
+                }
+            }
+        }
+        self.reshape(id);
+    }
+
+    fn reshape(&mut self, id: &str) {
+        let changed = self.pipelines.reshape(id, &mut self.jobs);
+        self.reshaped.extend(changed);
+    }
+
     /// Machines whose view changed since the last call.
     pub fn take_touched(&mut self) -> Vec<String> {
         std::mem::take(&mut self.touched).into_iter().collect()
@@ -327,6 +392,26 @@
 
     /// Enters an open job into the lists by region and team, or takes it out.
     fn count_job(&mut self, id: &str, enter: bool) {
+        let Some(rec) = self.jobs.get(id) else { return };
+        let Some(spec) = rec.value.open() else {
+            return;
+        };
+        let gate = if enter {
+            let spec = spec.recorded.as_ref().unwrap_or(spec).clone();
+            let gate = self.pipelines.enter(id, &spec, &self.jobs);
+            // As it is to be served, from the first on: the lists go by it.
+            let as_served = self.jobs.get(id).and_then(|r| r.value.spec.clone());
+            let shaped = as_served.and_then(|s| self.pipelines.shaped(id, &s, &self.jobs));
+            if let (Some(s), Some(r)) = (shaped, self.jobs.get_mut(id)) {
+                r.value.spec = Some(s);
+            }
+            gate
+        } else {
+            self.pipelines.leave(id, spec)
+        };
+        if gate != Gate::Ready {
+            return;
+        }
         let Some(rec) = self.jobs.get(id) else { return };
         let Some(spec) = rec.value.open() else {
             return;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -120,6 +120,16 @@
         pub write_rps: f64,
         pub value_kb: f64,
         pub txn_ops: usize,
+        /// The limits that it will have from some moment on; any part may lack.
+        #[serde(default)]
+        pub next: Option<NextState>,
+    }
+
+    #[derive(Deserialize)]
+    pub struct NextState {
+        pub write_rps: Option<f64>,
+        pub value_kb: Option<f64>,
+        pub txn_ops: Option<usize>,
     }
 
     #[derive(Deserialize)]
@@ -291,6 +301,8 @@
     pub store_rps: f64,
     /// State service: changes a second, over all controllers.
     pub store_writes: f64,
+    /// The least that its rate of changes may become.
+    pub store_writes_least: f64,
     /// State service: most bytes of a value.
     pub value_bytes: usize,
     /// State service: most changes of a transaction.
@@ -309,6 +321,13 @@
     pub operator: Operator,
 }
 
+/// No limits to come.
+const NO_CHANGE: wire::NextState = wire::NextState {
+    write_rps: None,
+    value_kb: None,
+    txn_ops: None,
+};
+
 impl Settings {
     /// Reads the platform's file and, if given, the operators' INI.
     pub fn load(path: &Path, ini: Option<&Path>) -> Result<Settings, SettingsError> {
@@ -404,11 +423,14 @@
                 "must exceed lease_s by more than a second: no safe grant fits between",
             ));
         }
-        if s.txn_ops < 4 {
-            return Err(bad(
-                "facts.state.txn_ops",
-                "fewer than 4 changes a transaction",
-            ));
+        let next = s.next.as_ref().unwrap_or(&NO_CHANGE);
+        for (field, ops) in [
+            ("facts.state.txn_ops", Some(s.txn_ops)),
+            ("facts.state.next.txn_ops", next.txn_ops),
+        ] {
+            if ops.is_some_and(|n| n < 4) {
+                return Err(bad(field, "fewer than 4 changes a transaction"));
+            }
         }
         if f.facts.quota.fd_limit < 32 {
             return Err(bad("facts.quota.fd_limit", "fewer than 32 sockets"));
@@ -441,8 +463,17 @@
             cancel,
             store_rps: rate("facts.state.rps", s.rps)?,
             store_writes: rate("facts.state.write_rps", s.write_rps)?,
-            value_bytes: (rate("facts.state.value_kb", s.value_kb)? * 1024.0) as usize,
-            txn_ops: s.txn_ops,
+            // What is written from the start fits the limits to come, too: they come
+            // without notice, and what is on record then must be rewritten under them.
+            value_bytes: (rate("facts.state.value_kb", s.value_kb)?.min(match next.value_kb {
+                Some(kb) => rate("facts.state.next.value_kb", kb)?,
+                None => f64::MAX,
+            }) * 1024.0) as usize,
+            txn_ops: s.txn_ops.min(next.txn_ops.unwrap_or(usize::MAX)),
+            store_writes_least: match next.write_rps {
+                Some(w) => rate("facts.state.next.write_rps", w)?.min(s.write_rps),
+                None => s.write_rps,
+            },
             cloud_rps: rate("facts.cloud.rps", f.facts.cloud.rps)?,
             list_lag: units::secs(f.facts.cloud.list_lag_s),
             sockets: f.facts.quota.fd_limit,
--- a/src/sim.rs
+++ b/src/sim.rs
@@ -12,6 +12,7 @@
 use crate::http::{query_value, Request, Response};
 use crate::node::Node;
 use crate::reactor::{Call, CallError, CallId, ConnId, Net, NetEvent};
+use crate::registry::pipelines::{Gate, PLANT};
 use crate::settings::Settings;
 use crate::units::{Micros, MILLI, SECOND};
 
@@ -166,6 +167,10 @@
     /// Tasks are started for as long as reports are answered, and peers' word of
     /// cancellations is passed over.
     Eager,
+    /// Jobs run without regard to those that they need.
+    Gateless,
+    /// Nothing is cancelled along with what it needs.
+    Alone,
 }
 
 struct Ctl {
@@ -243,6 +248,8 @@
     starts: u32,
     /// How many leaders there had been when its first task ended.
     first_end: u32,
+    /// Jobs that must be done before it.
+    needs: Vec<String>,
 }
 
 /// What a run is made of.
@@ -262,6 +269,8 @@
     Apart,
     /// More than there is room for, urgent and not.
     Crowd,
+    /// Most jobs need one or two others, some of them a whole chain.
+    Pipelines,
 }
 
 struct World {
@@ -328,6 +337,10 @@
     split_ends: u32,
     /// Times at which the machines had no room for a task that waited.
     crowded: u32,
+    /// Starts of tasks of jobs that need others.
+    after_others: u32,
+    /// Jobs told to be cancelled along with others.
+    along: u32,
 }
 
 const LATENCY: Micros = MILLI;
@@ -432,6 +445,22 @@
                 "sheaves": tasks, "cores": cpus, "cards": 0.0, "memoryGb": 1.0, "seed": "img", "sizeGb": 1.0,
                 "plots": null, "field": null, "samePlace": false, "spread": false, "fallow": w.rng.bool(),
                 "growthS": if kind == "standing" { 0 } else { run }, "stookS": 0.0, "bindS": 0.0, "harvestS": null});
+            let mut spec = spec;
+            let mut needs: Vec<String> = Vec::new();
+            if plan.load == Load::Pipelines && later.u32(0..10) < 7 {
+                let known: Vec<&String> = w
+                    .jobs
+                    .iter()
+                    .filter(|(_, j)| j.spec["furrow"] != "standing")
+                    .map(|(id, _)| id)
+                    .collect();
+                for _ in 0..later.usize(1..3) {
+                    if !known.is_empty() {
+                        needs.push(known[later.usize(0..known.len())].clone());
+                    }
+                }
+                spec["trails"] = json!(needs);
+            }
             let at = SECOND * w.rng.u64(1..plan.end / SECOND / 2);
             if kind == "standing" || w.rng.u32(0..5) == 0 {
                 let t = at + SECOND * w.rng.u64(1..40);
@@ -462,6 +491,7 @@
                     accepted_at: 0,
                     starts: 0,
                     first_end: 0,
+                    needs,
                 },
             );
         }
@@ -602,6 +632,8 @@
             Plant::Undying => node.plant_undying(),
             Plant::Credulous => node.plant_credulous(),
             Plant::Eager => node.plant_eager(),
+            Plant::Gateless => PLANT.set(Some(Gate::Ready)),
+            Plant::Alone => PLANT.set(Some(Gate::Waits)),
         }
         c.node = Some(node);
         self.set_clock(i);
@@ -1189,6 +1221,12 @@
                         return self.breaks("ran_cancelled", task);
                     }
                 }
+                let undone = |n: &&String| (self.jobs[*n].done.len() as u32) < self.jobs[*n].tasks;
+                if let Some(n) = j.needs.iter().find(undone) {
+                    let what = format!("{task} starts, {n} isn't done");
+                    return self.breaks("too_early", what);
+                }
+                self.seen.after_others += u32::from(!j.needs.is_empty());
                 if self.workers[name].spot && !j.spec["fallow"].as_bool().unwrap() {
                     return self.breaks("wrong_place", task);
                 }
@@ -1385,6 +1423,11 @@
             }
             return;
         }
+        // Users name only what was accepted.
+        let early = |n: &String| !self.jobs[n].accepted;
+        if what == What::Submit && j.needs.iter().any(early) {
+            return self.at(self.now + SECOND, Ev::User(id, what));
+        }
         let (method, path, body) = match what {
             What::Submit => (
                 "POST",
@@ -1433,6 +1476,7 @@
         }
         let stage = read(&r.body)["stage"].as_str().unwrap_or("").to_owned();
         let now = self.now;
+        let told = self.ancestors_told(&id);
         let Some(j) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -1445,7 +1489,16 @@
         {
             wrong = Some("went_back");
         }
-        if stage == "cancelled" && !j.cancel_asked {
+        let along = told.is_some();
+        if matches!(stage.as_str(), "queued" | "running")
+            && told.flatten().is_some_and(|t| sent > t + 41 * SECOND)
+        {
+            wrong = Some("orphaned");
+        }
+        if stage == "cancelled" && !j.cancel_asked && along && j.cancel_told.is_none() {
+            self.seen.along += 1;
+        }
+        if stage == "cancelled" && !j.cancel_asked && !along {
             wrong = Some("went_back");
         }
         if stage == "done" && (j.done.len() as u32) < j.tasks {
@@ -1612,6 +1665,22 @@
         }
     }
 
+    /// Whether users asked to cancel a job that this one needs, through others too, and
+    /// when the first was told that it is.
+    fn ancestors_told(&self, id: &str) -> Option<Option<Micros>> {
+        let mut todo = self.jobs[id].needs.clone();
+        let mut found: Option<Option<Micros>> = None;
+        while let Some(n) = todo.pop() {
+            let j = &self.jobs[&n];
+            if j.cancel_asked {
+                let first = [found.flatten(), j.cancel_told].into_iter().flatten().min();
+                found = Some(first);
+            }
+            todo.extend(j.needs.iter().cloned());
+        }
+        found
+    }
+
     /// Jobs that are not over, or not even accepted.
     fn left_open(&self) -> Vec<&String> {
         let open = |j: &Job| !j.accepted || !(j.done_told || j.cancel_told.is_some());
@@ -1676,7 +1745,9 @@
         for (id, j) in &self.jobs {
             let over = j.done_told || j.cancel_told.is_some() || j.cancel_asked;
             let have = on.get(id).copied().unwrap_or(0) + j.done.len() as u32;
-            if !j.accepted || over || have >= j.tasks {
+            let undone = |n: &String| (self.jobs[n].done.len() as u32) < self.jobs[n].tasks;
+            let held = j.needs.iter().any(undone);
+            if !j.accepted || over || held || have >= j.tasks {
                 self.waits.remove(id);
                 continue;
             }
@@ -1805,6 +1876,7 @@
 fn play_in(p: &Plan, mut w: World) -> World {
     log_if_asked();
     fastrand::seed(p.seed);
+    PLANT.set(None);
     let mut t = 5 * SECOND;
     let after = if p.load == Load::Crowd { 400 } else { 120 };
     while t <= p.end + after * SECOND && w.broken.is_empty() {
--- a/src/sim/meetings.rs
+++ b/src/sim/meetings.rs
@@ -254,6 +254,47 @@
             load: Load::Mixed,
             happened: |s| s.takings > 5,
         },
+        Meeting {
+            name: "pipelines on a quiet day",
+            faults: |_| Vec::new(),
+            load: Load::Pipelines,
+            happened: |s| s.after_others > 10 && s.along > 0,
+        },
+        Meeting {
+            name: "pipelines: ends and cancellations across new leaders",
+            faults: |r| {
+                let mut f: Vec<(f64, Fault)> = (0..5)
+                    .map(|i| (25.0 + i as f64 * 23.0 + r.f64() * 9.0, Fault::LeaderBlinks))
+                    .collect();
+                f.push((5.0, Fault::CancelAtEnd(150 * S)));
+                f.push((60.0 + r.f64() * 50.0, Fault::Crash(r.usize(0..3))));
+                f
+            },
+            load: Load::Pipelines,
+            happened: |s| s.after_others > 5 && s.along > 0 && s.leaders > 3,
+        },
+        Meeting {
+            name: "pipelines: the gap, and an outage",
+            faults: |r| gap(r, 0),
+            load: Load::Pipelines,
+            happened: |s| s.after_others > 5 && s.along > 0 && s.answered_blind > 0,
+        },
+        Meeting {
+            name: "pipelines: late writes, a lone leader, all controllers away",
+            faults: |r| {
+                vec![
+                    (10.0, Fault::LateWrites(100 * S)),
+                    (
+                        30.0 + r.f64() * 30.0,
+                        Fault::Alone(r.usize(0..3), 30 * S, r.bool()),
+                    ),
+                    (95.0 + r.f64() * 20.0, Fault::AllAway(20 * S)),
+                    (40.0, Fault::Copies(80 * S)),
+                ]
+            },
+            load: Load::Pipelines,
+            happened: |s| s.after_others > 5 && s.late_writes > 5,
+        },
         Meeting {
             name: "gangs and arrays lose machines",
             faults: |r| {
@@ -280,7 +321,11 @@
             .into_iter()
             .map(|(at, f)| ((at * S as f64) as Micros, f))
             .collect(),
-        jobs: if m.load == Load::Crowd { 60 } else { 24 },
+        jobs: match m.load {
+            Load::Crowd => 60,
+            Load::Pipelines => 32,
+            _ => 24,
+        },
         end: 240 * S,
         load: m.load,
     }
@@ -362,4 +407,15 @@
         Plant::Credulous,
         broke,
     );
+    let broke = |rule: &'static str| move |w: &World| w.broken.iter().any(|b| b.contains(rule));
+    let gateless = broke("too_early");
+    let alone = broke("orphaned");
+    let all = meetings();
+    let quiet = all.iter().find(|m| m.name == "pipelines on a quiet day");
+    let quiet = quiet.unwrap();
+    for seed in 1..=4 {
+        let p = day(quiet, seed);
+        assert!(gateless(&play(&p, Plant::Gateless)), "seed {seed}");
+    }
+    assert!((1..=30).any(|seed| alone(&play(&day(quiet, seed), Plant::Alone))));
 }
