--- a/src/settings.rs
+++ b/src/settings.rs
@@ -593,6 +593,29 @@
         let s = Settings::parse("f", &sample()).unwrap();
         assert_eq!(s.regions(), ["t-0", "t-1", "t-2"]);
         assert!(s.grant_life() + s.lease + 2 * units::SECOND < s.cancel);
+        // Limits to come, or parts of them, bound what is written from the start.
+        for (next, bytes, ops, least) in [
+            ("", 4096, 12, 50.0),
+            (r#","next":{}"#, 4096, 12, 50.0),
+            (r#","next":{"value_kb":2.0}"#, 2048, 12, 50.0),
+            (
+                r#","next":{"value_kb":2,"txn_ops":4,"write_rps":18.0,"other":1}"#,
+                2048,
+                4,
+                18.0,
+            ),
+            (
+                r#","next":{"value_kb":64,"txn_ops":400,"write_rps":900}"#,
+                4096,
+                12,
+                50.0,
+            ),
+        ] {
+            let text = sample().replacen(r#""txn_ops":12"#, &format!(r#""txn_ops":12{next}"#), 1);
+            let s = Settings::parse("f", &text).unwrap();
+            let got = (s.value_bytes, s.txn_ops, s.store_writes_least);
+            assert_eq!(got, (bytes, ops, least), "{next}");
+        }
         for (from, to, names) in [
             ("\"127.0.0.1:7000\"", "\"nowhere\"", "front"),
             (
@@ -606,6 +629,16 @@
                 "facts.workers.cancel_s",
             ),
             ("\"rps\":100.0", "\"rps\":0", "facts.state.rps"),
+            (
+                "\"txn_ops\":12",
+                "\"txn_ops\":12,\"next\":{\"txn_ops\":2}",
+                "facts.state.next.txn_ops",
+            ),
+            (
+                "\"txn_ops\":12",
+                "\"txn_ops\":12,\"next\":{\"value_kb\":-1}",
+                "facts.state.next.value_kb",
+            ),
             (
                 "\"host_name\":\"t-1\"",
                 "\"host_name\":\"t-0\"",
--- a/src/sim.rs
+++ b/src/sim.rs
@@ -150,6 +150,8 @@
     AllAway(Micros),
     /// Answers to workers are held up, by up to 6 s.
     HeldAnswers(Micros),
+    /// From now on the state service takes only 4 changes a transaction and 2 KiB values.
+    LowerLimits,
     /// A zone is cut off: this controller and the machines that report to it.
     Zone(usize, Micros),
 }
@@ -303,6 +305,9 @@
     load: Load,
     /// Since when a job has waited although a machine has room for it.
     waits: BTreeMap<String, (Micros, u32)>,
+    /// Changes a transaction and bytes a value that the state service takes.
+    ops_most: usize,
+    value_most: usize,
 }
 
 /// Counts of what a day brought about.
@@ -341,6 +346,8 @@
     after_others: u32,
     /// Jobs told to be cancelled along with others.
     along: u32,
+    /// Transactions refused for their size.
+    too_large: u32,
 }
 
 const LATENCY: Micros = MILLI;
@@ -365,6 +372,10 @@
                     .map(|j| json!({"host_name": format!("t-{j}"), "area": "a", "addr": format!("127.0.0.1:70{j}1")}))
                     .collect();
                 v["others"] = json!(others);
+                if plan.load == Load::Pipelines {
+                    v["facts"]["state"]["next"] =
+                        json!({"value_kb": 2.0, "txn_ops": 4, "write_rps": 18.0});
+                }
                 Settings::parse("sim", &v.to_string()).unwrap()
             })
             .collect();
@@ -398,6 +409,8 @@
             held_answers: 0,
             load: plan.load,
             waits: BTreeMap::new(),
+            ops_most: 12,
+            value_most: 4096,
         };
         for i in 0..3 {
             w.ctls.push(Ctl {
@@ -907,10 +920,11 @@
             }
         }
         let apply = body["apply"].as_array().unwrap();
-        assert!(
-            apply.len() <= 12,
-            "more changes than a transaction may hold"
-        );
+        let size = |a: &Value| a["value"].to_string().len();
+        if apply.len() > self.ops_most || apply.iter().any(|a| size(a) > self.value_most) {
+            self.seen.too_large += 1;
+            return reply(400, json!({"error": "too large"}));
+        }
         for a in apply {
             if let Some(l) = a["tenure"].as_u64() {
                 if !self.store.grants.contains_key(&l) {
@@ -922,7 +936,6 @@
         let m = self.store.revision;
         for a in apply {
             if let Some(k) = a["put"].as_str() {
-                assert!(a["value"].to_string().len() <= 4096, "value too large: {k}");
                 let v = (a["value"].clone(), m, a["tenure"].as_u64());
                 self.seen.takings += u32::from(k.starts_with("st/region/"));
                 self.seen.leaders += u32::from(k == "st/leader");
@@ -1588,6 +1601,7 @@
                 }
             }
             Fault::CancelAtEnd(d) => self.cancel_at_end = now + d,
+            Fault::LowerLimits => (self.ops_most, self.value_most) = (4, 2048),
             Fault::HeldAnswers(d) => self.held_answers = now + d,
             Fault::Zone(i, d) => {
                 self.fault(Fault::Alone(i, d, false));
@@ -1897,6 +1911,7 @@
 fn check_plan(p: &Plan) -> u32 {
     let seed = p.seed;
     let w = play(p, Plant::Nothing);
+    assert!(w.seen.too_large == 0, "seed {seed}: {:?}", w.seen);
     assert!(
         w.broken.is_empty(),
         "seed {seed}: {:?}, faults {:?}",
--- a/src/sim/meetings.rs
+++ b/src/sim/meetings.rs
@@ -289,6 +289,8 @@
                         Fault::Alone(r.usize(0..3), 30 * S, r.bool()),
                     ),
                     (95.0 + r.f64() * 20.0, Fault::AllAway(20 * S)),
+                    // In the middle of the takeovers.
+                    (116.0, Fault::LowerLimits),
                     (40.0, Fault::Copies(80 * S)),
                 ]
             },
@@ -355,12 +357,13 @@
             happened += u32::from((m.happened)(&w.seen));
             let open: Vec<&String> = w.left_open();
             let late = w.seen.starts_after_cancel;
-            if !w.broken.is_empty() || !open.is_empty() || late > 0 {
+            let large = w.seen.too_large > 0;
+            if !w.broken.is_empty() || !open.is_empty() || late > 0 || large {
                 for (k, (value, mark, _)) in &w.store.data {
                     log::info!("left on record: {k} {mark} {value}");
                 }
                 failed.push(format!(
-                    "{}, seed {seed}: {:?}, left open {open:?}, {late} starts after a cancel",
+                    "{}, seed {seed}: {:?}, left open {open:?}, {late} starts after a cancel, too large {large}",
                     m.name, w.broken
                 ));
             }
