--- /dev/null
+++ b/src/intake/tests.rs
@@ -0,0 +1,165 @@
+//! Tests of intake.
+
+use super::*;
+use serde_json::{json, Value};
+
+fn good() -> Value {
+    json!({"nameId":"req-000412","crop":"train","crew":"blue","furrow":"gang","rank":"urgent","sheaves":2,
+        "cores":4.0,"cards":1,"memoryGb":6.5,"seed":"img-07","sizeGb":6.2,"plots":["g8"],"field":null,
+        "samePlace":true,"spread":false,"fallow":true,"growthS":240.0,"stookS":30.0,"bindS":4.0,
+        "harvestS":900.0,"later":[1]})
+}
+
+#[test]
+fn submissions_good_and_bad() {
+    let bytes = |v: &Value| rmp_serde::to_vec(v).unwrap();
+    let (id, s) = parse_submission(&bytes(&good()), 7).unwrap();
+    assert_eq!(id, "req-000412");
+    assert_eq!(
+        (s.tasks, s.cpus, s.gpus, s.submitted),
+        (2, 4_000_000, 1_000_000, 7)
+    );
+    let mut cases: Vec<(&str, Value)> = vec![
+        ("nameId", json!("x-1")),
+        ("nameId", json!(7)),
+        ("furrow", json!("heap")),
+        ("rank", json!("normal")),
+        ("sheaves", json!(0)),
+        ("sheaves", json!(-1)),
+        ("sheaves", json!(100_001)),
+        ("sheaves", json!(2.5)),
+        ("cores", json!(-1.0)),
+        ("cores", json!(0.0)),
+        ("cores", json!("4")),
+        ("memoryGb", json!(-0.5)),
+        ("samePlace", json!(1)),
+        ("growthS", json!(-3)),
+        ("plots", json!("g8")),
+        ("harvestS", json!(-1)),
+        ("seed", json!(null)),
+        ("trails", json!("req-1")),
+        ("trails", json!([7])),
+        ("trails", json!(["x-1"])),
+        ("trails", json!(["req-000001", "req-000412"])),
+    ];
+    for field in ["nameId", "crew", "sheaves", "cores", "fallow", "bindS"] {
+        cases.push((field, Value::Null));
+    }
+    for (field, value) in cases {
+        let mut v = good();
+        v[field] = value.clone();
+        assert_eq!(
+            parse_submission(&bytes(&v), 0),
+            Err(Refusal::Malformed),
+            "{field} {value}"
+        );
+    }
+    for field in ["plots", "field", "harvestS"] {
+        let mut v = good();
+        v.as_object_mut().unwrap().remove(field);
+        assert!(
+            parse_submission(&bytes(&v), 0).is_ok(),
+            "{field} may be left out"
+        );
+    }
+    for (trails, needs) in [
+        (json!(null), vec![]),
+        (json!([]), vec![]),
+        (json!(["req-2", "req-1", "req-2"]), vec!["req-1", "req-2"]),
+    ] {
+        let mut v = good();
+        v["trails"] = trails;
+        assert_eq!(parse_submission(&bytes(&v), 0).unwrap().1.needs, needs);
+    }
+    let mut missing = good();
+    missing.as_object_mut().unwrap().remove("stookS");
+    assert!(parse_submission(&bytes(&missing), 0).is_err());
+    // A list in the fields' order, plain nonsense, and NaN.
+    let list = json!(["req-1", "a", "b"]);
+    for body in [bytes(&list), vec![], vec![0xc1], b"{}".to_vec()] {
+        assert_eq!(parse_submission(&body, 0), Err(Refusal::Malformed));
+    }
+    let mut nan = bytes(&good());
+    let at = nan.windows(5).position(|w| w == b"cores").unwrap() + 5;
+    nan[at + 1..at + 9].copy_from_slice(&f64::NAN.to_be_bytes());
+    assert_eq!(parse_submission(&nan, 0), Err(Refusal::Malformed));
+}
+
+#[test]
+fn what_can_never_run() {
+    let settings = Settings::parse("f", &crate::settings::tests::sample()).unwrap();
+    let mut r = Replica::default();
+    let base = parse_submission(&rmp_serde::to_vec(&good()).unwrap(), 0)
+        .unwrap()
+        .1;
+    assert!(matches!(
+        check(&base, &r, &settings),
+        Err(Refusal::NotYet(_))
+    ));
+    let f = json!({"name":"g8","cpus":8_000_000u64,"gpus":1_000_000u64,"mem":64_000_000u64,"fetch":1,
+        "price":1,"spot_price":1,"boot":1,"zones":["a","b"]});
+    r.event("st/flavor/g8", Some(f), 1);
+    let with = |change: &dyn Fn(&mut JobSpec)| {
+        let mut s = base.clone();
+        change(&mut s);
+        check(&s, &r, &settings)
+    };
+    assert_eq!(with(&|_| {}), Ok(()));
+    assert_eq!(with(&|s| s.zone = Some("b".into())), Ok(()));
+    assert_eq!(with(&|s| (s.spread, s.tasks) = (true, 1)), Ok(()));
+    assert_eq!(
+        with(&|s| (s.spread, s.one_zone) = (true, false)),
+        Ok(()),
+        "two zones"
+    );
+    // A list that no record holds: 400, with the bound.
+    let many = |n: usize| with(&|s| s.needs = (0..n).map(|i| format!("req-{i:06}")).collect());
+    assert_eq!(many(100), Ok(()));
+    let Err(Refusal::Needs(bound)) = many(400) else {
+        panic!("taken");
+    };
+    assert!(many(bound).is_ok() && bound > 100, "{bound}");
+    for (what, res) in [
+        ("team", with(&|s| s.team = "green".into())),
+        ("type", with(&|s| s.types = Some(vec!["x".into()]))),
+        ("no type", with(&|s| s.types = Some(vec![]))),
+        ("cpus", with(&|s| s.cpus = 9_000_000)),
+        ("mem", with(&|s| s.mem = 65_000_000)),
+        ("limit", with(&|s| s.tasks = 3)),
+        ("zone", with(&|s| s.zone = Some("q".into()))),
+        ("length", with(&|s| s.class = "x".repeat(5000))),
+        ("spread in one zone", with(&|s| s.spread = true)),
+        (
+            "spread in a named zone",
+            with(&|s| {
+                (s.spread, s.one_zone, s.zone) = (true, false, Some("b".into()));
+            }),
+        ),
+    ] {
+        assert!(matches!(res, Err(Refusal::Never(_))), "{what}: {res:?}");
+    }
+}
+
+#[test]
+fn the_limit_follows_measured_times() {
+    let mut l = Limiter::new(200);
+    let start = l.limit();
+    let mut now = 0;
+    let mut feed = |l: &mut Limiter, ms: u64, secs: u64, busy: usize| {
+        for _ in 0..secs * 10 {
+            now += SECOND / 10;
+            l.admits(busy);
+            l.measured(ms * MILLI, now);
+        }
+    };
+    feed(&mut l, 8, 10, 40);
+    let grown = l.limit();
+    assert!(grown > start);
+    feed(&mut l, 900, 10, 40);
+    assert!(l.limit() < grown / 2);
+    assert!(l.limit() >= LEAST as usize);
+    let small = l.limit();
+    assert!(l.admits(small - 1) && !l.admits(small));
+    feed(&mut l, 8, 60, 40);
+    assert!(l.limit() > small);
+}
--- /dev/null
+++ b/src/quota/tests.rs
@@ -0,0 +1,45 @@
+//! Tests of quota.
+
+use super::*;
+use proptest::prelude::*;
+
+fn a(cpus: u64, gpus: u64) -> Amount {
+    Amount { cpus, gpus }
+}
+
+#[test]
+fn limits() {
+    for (kind, tasks, each, fits) in [
+        (Kind::Array, 1000, a(5, 0), true),
+        (Kind::Array, 1, a(11, 0), false),
+        (Kind::Gang, 2, a(5, 0), true),
+        (Kind::Gang, 3, a(5, 0), false),
+        (Kind::Service, 3, a(5, 0), false),
+        (Kind::Array, 1, a(1, 1), false),
+        (Kind::Gang, u32::MAX, a(u64::MAX, 0), false),
+    ] {
+        assert_eq!(
+            can_ever(kind, tasks, each, a(10, 0)),
+            fits,
+            "{kind:?} {tasks}"
+        );
+    }
+}
+
+proptest! {
+    /// Whatever regions ask for, in any order, the shares never exceed the limit.
+    #[test]
+    fn shares_stay_inside(asks in proptest::collection::vec((0usize..4, 0u64..30, 0u64..5), 0..40)) {
+        let limit = a(20, 3);
+        let mut rec = QuotaRecord::default();
+        for (r, c, g) in asks {
+            let region = format!("r{r}");
+            if let Some((q, new)) = propose(Some(&rec), &region, limit, a(c, g)) {
+                prop_assert!(new.within(a(c, g)));
+                rec = q;
+            }
+            let sum = rec.0.values().fold(a(0, 0), |s, (c, g)| s.plus(a(*c, *g)));
+            prop_assert!(sum.within(limit));
+        }
+    }
+}
--- /dev/null
+++ b/src/region/tests.rs
@@ -0,0 +1,625 @@
+//! Tests of region.
+
+use super::*;
+use crate::workers::ReportedTask;
+use serde_json::json;
+
+struct Fixture {
+    replica: Replica,
+    settings: Settings,
+    rev: u64,
+    short: BTreeMap<String, u64>,
+    starts: bool,
+    called_off: BTreeSet<String>,
+}
+
+impl Fixture {
+    fn new() -> Self {
+        let mut f = Fixture {
+            replica: Replica::default(),
+            settings: Settings::parse("f", &crate::settings::tests::sample()).unwrap(),
+            rev: 0,
+            short: BTreeMap::new(),
+            starts: true,
+            called_off: BTreeSet::new(),
+        };
+        f.put(
+            "st/flavor/box",
+            json!({"name":"box","cpus":4_000_000,"gpus":0,"mem":9_000_000,"fetch":1,
+            "price":1,"spot_price":1,"boot":10_000_000,"zones":["a"]}),
+        );
+        f
+    }
+    fn put(&mut self, key: &str, v: serde_json::Value) {
+        self.rev += 1;
+        self.replica.event(key, Some(v), self.rev).unwrap();
+        self.replica.reached(self.rev);
+    }
+    fn machine(&mut self, name: &str) {
+        let v = json!({"region":"t-0","flavor":"box","zone":"a","spot":false,"opened":true});
+        self.put(&format!("st/machine/{name}"), v);
+    }
+    fn job(&mut self, id: &str, team: &str, class: &str, rank: &str, tasks: u32, at: u64) {
+        let v = json!({"st":"o","b":[[0,tasks,"t-0"]],"j":{"c":class,"t":team,"k":"a","r":rank,"n":tasks,
+            "u":2_000_000,"m":1_000_000,"i":"img","e":5_000_000,"a":at}});
+        self.put(&format!("st/job/{id}"), v);
+    }
+    fn share(&mut self, team: &str, cpus: u64) {
+        self.put(&format!("st/quota/{team}"), json!({"t-0":[cpus,0]}));
+    }
+    fn view(&self, now: Micros) -> View<'_> {
+        View {
+            replica: &self.replica,
+            settings: &self.settings,
+            now,
+            wall: now,
+            short: &self.short,
+            starts: self.starts,
+            called_off: &self.called_off,
+        }
+    }
+    fn take(&self, token: u64, now: Micros) -> Region {
+        Region::new("t-0", token, 1, &self.view(now))
+    }
+}
+
+fn report(machine: &str, tally: u64, token: u64, tasks: &[(&str, u32, u64)]) -> Report {
+    Report {
+        machine: machine.into(),
+        flavor: "box".into(),
+        zone: "a".into(),
+        spot: false,
+        order: (1, tally),
+        token,
+        notice: None,
+        tasks: tasks
+            .iter()
+            .map(|(j, n, a)| ReportedTask {
+                job: Rc::from(*j),
+                task: *n,
+                attempt: *a,
+                stage: OnMachine::Running,
+            })
+            .collect(),
+    }
+}
+
+fn starts(v: &Verdict) -> usize {
+    match v {
+        Verdict::Commands(c) => c.iter().filter(|c| matches!(c, Command::Start(..))).count(),
+        _ => 0,
+    }
+}
+
+/// What a former owner may have started waits for every machine; reports that
+/// are late, repeated or under another token change nothing.
+#[test]
+fn taking_over() {
+    let mut f = Fixture::new();
+    f.machine("m-1");
+    f.machine("m-2");
+    f.job("req-1", "red", "x", "1", 2, 0);
+    f.share("red", 8_000_000);
+    let mut r = f.take(7, SECOND);
+    let at = |s: u64| f.view(s * SECOND);
+    // First word comes under the old token: nothing is concluded from it.
+    assert_eq!(
+        r.on_report(&report("m-1", 1, 6, &[("req-1", 0, 5)]), &at(2)),
+        Verdict::Commands(vec![])
+    );
+    assert_eq!(starts(&r.on_report(&report("m-1", 2, 7, &[]), &at(3))), 0);
+    assert!(!r.settled());
+    assert_eq!(
+        r.on_report(&report("m-1", 2, 7, &[]), &at(4)),
+        Verdict::Stale
+    );
+    assert_eq!(
+        r.on_report(&report("m-1", 3, 8, &[]), &at(4)),
+        Verdict::Outranked
+    );
+    assert_eq!(
+        r.on_report(&report("m-9", 1, 7, &[]), &at(4)),
+        Verdict::Stranger
+    );
+    // The other machine has task 1 of the old owner: it stays, task 0 starts.
+    r.on_report(&report("m-2", 1, 7, &[("req-1", 1, 5)]), &at(5));
+    assert!(r.settled());
+    assert_eq!(r.running("req-1"), 2);
+    assert_eq!(starts(&r.on_report(&report("m-1", 4, 7, &[]), &at(6))), 1);
+    // Not in the next report: the start was not carried out, and goes anew.
+    assert_eq!(starts(&r.on_report(&report("m-1", 5, 7, &[]), &at(9))), 1);
+}
+
+/// One silent machine among others goes back; when all are silent, the fault
+/// is ours and only their leases tell.
+/// The last task's progress and the job's cancellation come in one answer: the
+/// replica shows both before we are told of the first. The end must not be written
+/// on the cancelled record's revision: done would be told after cancelled.
+#[test]
+fn a_cancellation_in_the_same_answer_as_the_last_result() {
+    for (cancelled, ends) in [(false, 1), (true, 0)] {
+        let mut f = Fixture::new();
+        f.machine("m-1");
+        f.job("req-1", "red", "x", "1", 2, 0);
+        f.share("red", 8_000_000);
+        let mut r = f.take(7, SECOND);
+        f.put("st/progress/req-1/t-1/0", json!("3"));
+        if cancelled {
+            f.put("st/job/req-1", json!({"st": "c"}));
+        }
+        let v = f.view(2 * SECOND);
+        r.on_progress("req-1", &v);
+        let finish = |e: &Effect| matches!(e, Effect::Commit(_, _, Purpose::Finish(_)));
+        assert_eq!(r.take_effects().iter().filter(|e| finish(e)).count(), ends);
+    }
+}
+
+#[test]
+fn silent_machines() {
+    for (reporting, released) in [(&["m-1", "m-2"][..], true), (&[][..], false)] {
+        let mut f = Fixture::new();
+        for m in ["m-1", "m-2", "m-3"] {
+            f.machine(m);
+        }
+        let mut r = f.take(7, SECOND);
+        for s in (2..17).step_by(2) {
+            let v = f.view(s * SECOND);
+            for m in reporting {
+                r.on_report(&report(m, s, 7, &[]), &v);
+            }
+            r.tick(&v);
+        }
+        r.tick(&f.view(17 * SECOND));
+        let got = r
+            .take_effects()
+            .into_iter()
+            .any(|e| matches!(e, Effect::Release(names) if names == ["m-3"]));
+        assert_eq!(got, released, "{reporting:?}");
+        assert!(!r.settled());
+        if released {
+            r.on_released(&["m-3".into()], true, &f.view(17 * SECOND));
+        }
+        assert_eq!(r.settled(), released);
+        r.tick(&f.view(19 * SECOND));
+        assert!(r.settled(), "past the lease all is clear");
+    }
+}
+
+/// A machine of a type that large jobs need is not kept up by small work in the
+/// corner beside them: once no large one has been on it for a while it gets no more
+/// of that, until a large one waits again.
+#[test]
+fn small_work_keeps_no_large_machine() {
+    let mut f = Fixture::new();
+    let big = json!({"name":"big","cpus":16_000_000,"gpus":0,"mem":64_000_000,"fetch":1,
+        "price":9,"spot_price":9,"boot":10_000_000,"zones":["a"]});
+    f.put("st/flavor/big", big);
+    let v = json!({"region":"t-0","flavor":"big","zone":"a","spot":false,"opened":true});
+    f.put("st/machine/m-1", v);
+    f.share("red", 60_000_000);
+    let mut r = f.take(7, SECOND);
+    let large = |f: &mut Fixture, id: &str| {
+        let v = json!({"st":"o","b":[[0,1,"t-0"]],"j":{"c":"l","t":"red","k":"a","r":"1","n":1,
+            "u":10_000_000,"m":20_000_000,"i":"img","e":5_000_000,"a":1}});
+        f.put(&format!("st/job/{id}"), v);
+    };
+    r.on_report(&report("m-1", 1, 7, &[]), &f.view(2 * SECOND));
+    large(&mut f, "req-1");
+    r.on_job("req-1", &f.view(2 * SECOND), false);
+    f.job("req-2", "red", "s", "1", 1, 0);
+    r.on_job("req-2", &f.view(2 * SECOND), false);
+    let mut begun = BTreeMap::new();
+    let mut out = Vec::new();
+    for s in 3..90 {
+        let v = f.view(s * SECOND);
+        let tasks: Vec<(&str, u32, u64)> = begun
+            .iter()
+            .filter(|((id, _), _): &(&(JobId, u32), &u64)| s < 20 || &**id != "req-1")
+            .map(|((id, n), a)| (&**id, *n, *a))
+            .collect();
+        let mut rep = report("m-1", s, 7, &tasks);
+        if s == 20 {
+            let a = begun[&(JobId::from("req-1"), 0)];
+            rep.tasks.push(ReportedTask {
+                job: "req-1".into(),
+                task: 0,
+                attempt: a,
+                stage: OnMachine::Ended(End::Done),
+            });
+        }
+        if let Verdict::Commands(c) = r.on_report(&rep, &v) {
+            for c in c {
+                if let Command::Start(id, n, a) = c {
+                    out.push(id.to_string());
+                    begun.insert((id, n), a);
+                }
+            }
+        }
+        r.tick(&v);
+        for e in r.take_effects() {
+            if let Effect::Commit(_, _, purpose) = e {
+                r.concluded(purpose, true, &v);
+            }
+        }
+        if s == 70 {
+            f.job("req-3", "red", "s", "1", 1, 0);
+            r.on_job("req-3", &f.view(s * SECOND), false);
+        }
+        if s == 80 {
+            assert_eq!(out, ["req-1", "req-2"], "req-3 may run elsewhere");
+            large(&mut f, "req-4");
+            r.on_job("req-4", &f.view(s * SECOND), false);
+        }
+    }
+    assert!(out.contains(&"req-4".to_owned()), "{out:?}");
+}
+
+/// One result of a gang ends it, whichever region saw it: its tasks complete
+/// together, and the machines of the others may be gone. Of an array each counts.
+#[test]
+fn one_result_ends_a_gang() {
+    for (kind, elsewhere, ends) in [
+        ("g", false, true),
+        ("g", true, true),
+        ("a", false, false),
+        ("a", true, false),
+    ] {
+        let mut f = Fixture::new();
+        f.machine("m-1");
+        let v = json!({"st":"o","b":[[0,2,""],[2,3,"t-0"]],"g":[9,null],"j":{"c":"x","t":"red","k":kind,
+            "r":"1","n":3,"u":2_000_000,"m":1_000_000,"i":"img","e":5_000_000,"a":1}});
+        f.put("st/job/req-1", v);
+        let mut r = f.take(7, SECOND);
+        if elsewhere {
+            f.put("st/progress/req-1/t-1/0", json!("1"));
+            r.on_progress("req-1", &f.view(2 * SECOND));
+        } else {
+            let mut rep = report("m-1", 1, 7, &[("req-1", 2, 9)]);
+            rep.tasks[0].stage = OnMachine::Ended(End::Done);
+            r.on_report(&rep, &f.view(2 * SECOND));
+        }
+        let finished = r
+            .take_effects()
+            .into_iter()
+            .any(|e| matches!(e, Effect::Commit(_, _, Purpose::Finish(id)) if &*id == "req-1"));
+        assert_eq!(finished, ends, "{kind} {elsewhere}");
+    }
+}
+
+/// A task meant for a machine that has yet to report is begun by another that
+/// reports before, if that holds no more tasks or the wait was long; once.
+#[test]
+fn unsent_tasks_are_drawn() {
+    for (busy, at, drawn) in [
+        (false, 3200, true),
+        // Holds more: only after an eighth of an interval.
+        (true, 3200, false),
+        (true, 3500, true),
+        // The one it is meant for is due.
+        (false, 5300, false),
+    ] {
+        let mut f = Fixture::new();
+        f.machine("m-1");
+        f.machine("m-2");
+        f.share("red", 8_000_000);
+        if busy {
+            f.job("req-1", "red", "x", "1", 1, 0);
+        }
+        let mut r = f.take(7, SECOND);
+        let had = [("req-1", 0, 7 << 24)];
+        let had = if busy { &had[..] } else { &[] };
+        r.on_report(&report("m-2", 1, 7, had), &f.view(2 * SECOND));
+        r.on_report(&report("m-1", 1, 7, &[]), &f.view(2 * SECOND));
+        f.job("req-2", "red", "x", "1", 1, 0);
+        r.on_job("req-2", &f.view(3 * SECOND), false);
+        r.place(&f.view(3 * SECOND));
+        let first = r.on_report(&report("m-2", 2, 7, had), &f.view(at * MILLI));
+        let then = r.on_report(&report("m-1", 2, 7, &[]), &f.view(at * MILLI + 1));
+        assert_eq!(
+            (starts(&first), starts(&then)),
+            (drawn.into(), (!drawn).into()),
+            "{busy} {at}"
+        );
+        assert!(r.unsent.is_empty());
+    }
+}
+
+/// A share is asked for before there is room, so that a machine that falls
+/// free doesn't wait for it.
+#[test]
+fn shares_are_taken_ahead() {
+    let mut f = Fixture::new();
+    f.machine("m-1");
+    let mut r = f.take(7, SECOND);
+    r.on_report(&report("m-1", 1, 7, &[]), &f.view(2 * SECOND));
+    r.take_effects();
+    f.job("req-1", "red", "x", "1", 2, 0);
+    f.share("red", 4_000_000);
+    r.on_job("req-1", &f.view(2 * SECOND), false);
+    r.place(&f.view(2 * SECOND));
+    assert_eq!(r.running("req-1"), 2);
+    f.job("req-2", "blue", "x", "1", 1, 0);
+    r.on_job("req-2", &f.view(3 * SECOND), false);
+    r.tick(&f.view(3 * SECOND));
+    let asked = r
+        .take_effects()
+        .into_iter()
+        .any(|e| matches!(e, Effect::Commit(_, _, Purpose::Share(t)) if t == "blue"));
+    assert!(asked);
+}
+
+/// Guarantee, then rank, then the operators' precedence, then the aims.
+#[test]
+fn order_of_waiting_jobs() {
+    let mut f = Fixture::new();
+    f.settings.operator.precedence = vec!["first".into(), "second".into()];
+    // Red is guaranteed 4 processors: its first job fits, the others don't.
+    for (i, (id, class, rank, tasks)) in [
+        ("req-1", "other", "1", 2),
+        ("req-2", "second", "1", 2),
+        ("req-3", "first", "1", 2),
+        ("req-4", "other", "3", 2),
+        ("req-5", "other", "1", 1),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        f.job(id, "red", class, rank, tasks, i as u64);
+    }
+    let mut r = f.take(7, SECOND);
+    let v = f.view(SECOND);
+    r.place(&v);
+    let order: Vec<String> = r.report(&v).waits.into_iter().map(|w| w.job).collect();
+    assert_eq!(order, ["req-1", "req-4", "req-3", "req-2", "req-5"]);
+}
+
+/// Machines that do as they are told, for tests that play a while: what runs
+/// where, and until when.
+struct Shop {
+    f: Fixture,
+    r: Region,
+    tally: u64,
+    on: BTreeMap<String, BTreeMap<(String, u32, u64), Micros>>,
+    began: BTreeMap<(String, u32), Micros>,
+}
+
+impl Shop {
+    fn new(machines: usize) -> Self {
+        let mut f = Fixture::new();
+        let names: Vec<String> = (0..machines).map(|i| format!("m-{i}")).collect();
+        for m in &names {
+            f.machine(m);
+        }
+        // Room enough in the limits: these tests are not about them.
+        for t in &mut f.settings.teams {
+            t.limit = t.limit.times(100);
+        }
+        let r = f.take(7, SECOND);
+        Shop {
+            f,
+            r,
+            tally: 0,
+            on: names.into_iter().map(|m| (m, BTreeMap::new())).collect(),
+            began: BTreeMap::new(),
+        }
+    }
+
+    fn submit(&mut self, id: &str, kind: &str, team: &str, tasks: u32, cpus: u64, now: Micros) {
+        let v = json!({"st":"o","b":[[0,tasks,"t-0"]],"j":{"c":"x","t":team,"k":kind,"r":"1","n":tasks,
+            "u":cpus,"m":1_000_000,"i":"img","e":4_000_000,"a":now}});
+        self.f.put(&format!("st/job/{id}"), v);
+        self.r.on_job(id, &self.f.view(now), false);
+    }
+
+    /// A second: what is through ends, each machine reports and does what it is
+    /// told. `deaf` is told nothing.
+    fn second(&mut self, now: Micros, deaf: Option<&str>) {
+        self.tally += 1;
+        for (m, tasks) in &mut self.on {
+            let mut rep = report(m, self.tally, 7, &[]);
+            for ((job, n, attempt), ends) in tasks.iter() {
+                rep.tasks.push(ReportedTask {
+                    job: Rc::from(job.as_str()),
+                    task: *n,
+                    attempt: *attempt,
+                    stage: if *ends <= now {
+                        OnMachine::Ended(End::Done)
+                    } else {
+                        OnMachine::Running
+                    },
+                });
+            }
+            tasks.retain(|_, ends| *ends > now);
+            let v = self.f.view(now);
+            let Verdict::Commands(commands) = self.r.on_report(&rep, &v) else {
+                panic!("{m}: no answer");
+            };
+            if deaf == Some(m) {
+                continue;
+            }
+            for c in commands {
+                if let Command::Start(j, n, a) = c {
+                    self.began.entry((j.to_string(), n)).or_insert(now);
+                    tasks.insert((j.to_string(), n, a), now + 4 * SECOND);
+                }
+            }
+        }
+        self.r.tick(&self.f.view(now));
+        for e in self.r.take_effects() {
+            let Effect::Commit(txn, _, purpose) = e else {
+                continue;
+            };
+            for (k, v) in txn.apply {
+                match v {
+                    Some(v) => self.f.put(&k.text(), v),
+                    None => drop(self.f.replica.event(&k.text(), None, self.f.rev + 1)),
+                }
+                if let Key::Job(id) = &k {
+                    self.r.on_job(id, &self.f.view(now), false);
+                }
+            }
+            self.r.concluded(purpose, true, &self.f.view(now));
+        }
+    }
+}
+
+/// Small work that never lets a whole set of machines fall free by itself does
+/// not keep a large gang from its places: they are held for it in time.
+#[test]
+fn a_large_gang_is_not_starved() {
+    let mut shop = Shop::new(4);
+    let mut began = None;
+    for s in 2..240u64 {
+        let now = s * SECOND;
+        // More small work than goes in, of the same rank and team.
+        for i in 0..3 {
+            shop.submit(
+                &format!("req-{}", s * 10 + i),
+                "a",
+                "red",
+                1,
+                2_000_000,
+                now,
+            );
+        }
+        if s == 10 {
+            shop.submit("req-1", "g", "red", 4, 4_000_000, now);
+        }
+        shop.second(now, None);
+        if shop.began.keys().filter(|(j, _)| j == "req-1").count() == 4 {
+            began = Some(s);
+            break;
+        }
+    }
+    let began = began.expect("never began");
+    assert!(began < 10 + 120, "began after {} s", began - 10);
+}
+
+/// Under more small work than there is room for, whatever comes later or is shorter
+/// doesn't pass a job over for ever: not a class's largest, not a class whose aims
+/// are past, not a team beyond its guarantee. Each begins within four minutes.
+#[test]
+fn nothing_is_passed_over_for_ever() {
+    let past = crate::settings::Objective {
+        kind: "wait".into(),
+        class: Some("late".into()),
+        within: Some(SECOND),
+        share: 0.9,
+    };
+    for (what, class, team, tasks) in [
+        ("largest", "x", "red", 24),
+        ("class", "late", "red", 1),
+        ("team", "x", "blue", 24),
+    ] {
+        let mut shop = Shop::new(4);
+        shop.f.settings.objectives = vec![past.clone()];
+        let mut began = None;
+        for s in 2..300u64 {
+            let now = s * SECOND;
+            for i in 0..3 {
+                let id = format!("req-{}", s * 10 + i);
+                shop.submit(&id, "a", "red", 1, 2_000_000, now);
+            }
+            if s == 10 {
+                let v = json!({"st":"o","b":[[0,tasks,"t-0"]],"j":{"c":class,"t":team,"k":"a",
+                    "r":"1","n":tasks,"u":2_000_000,"m":1_000_000,"i":"img","e":4_000_000,"a":now}});
+                shop.f.put("st/job/req-1", v);
+                shop.r.on_job("req-1", &shop.f.view(now), false);
+            }
+            shop.second(now, None);
+            let n = shop.began.keys().filter(|(j, _)| j == "req-1").count();
+            if n as u64 == tasks {
+                began = Some(s);
+                break;
+            }
+        }
+        let began = began.unwrap_or_else(|| panic!("{what}: never began"));
+        assert!(began <= 10 + 240, "{what}: began after {} s", began - 10);
+    }
+}
+
+/// A team that floods the region with work gets what is left: the others'
+/// work within their guarantees starts at once.
+#[test]
+fn a_flood_leaves_others_their_guarantee() {
+    let mut shop = Shop::new(4);
+    for i in 0..200 {
+        shop.submit(
+            &format!("req-{}", 1000 + i),
+            "a",
+            "red",
+            4,
+            1_000_000,
+            SECOND + i,
+        );
+    }
+    let mut waits = Vec::new();
+    for s in 2..60u64 {
+        let now = s * SECOND;
+        if s % 10 == 0 {
+            shop.submit(&format!("req-{s}"), "a", "blue", 4, 1_000_000, now);
+        }
+        shop.second(now, None);
+    }
+    for s in (10..50u64).step_by(10) {
+        for n in 0..4 {
+            let at = shop.began.get(&(format!("req-{s}"), n)).copied();
+            waits.push(at.unwrap_or(Micros::MAX).saturating_sub(s * SECOND));
+        }
+    }
+    assert!(waits.iter().all(|w| *w <= 6 * SECOND), "{waits:?}");
+    assert!(
+        shop.began.keys().any(|(j, _)| j.len() == 8),
+        "the flood runs, too"
+    );
+}
+
+/// A machine that carries out nothing gets no more work after two tries; what it
+/// was meant for runs elsewhere, and it serves again once its session stands.
+#[test]
+fn a_deaf_machine_draws_no_work() {
+    let mut shop = Shop::new(2);
+    shop.submit("req-1", "a", "red", 4, 2_000_000, SECOND);
+    for s in 2..8 {
+        shop.second(s * SECOND, Some("m-0"));
+    }
+    assert_eq!(shop.r.machines["m-0"].listed, Listed::Out);
+    assert!(shop.r.machines["m-0"].tasks.is_empty());
+    for s in 8..16 {
+        shop.second(s * SECOND, Some("m-0"));
+    }
+    assert_eq!(shop.began.len(), 4, "all run on the other");
+    for s in 16..40 {
+        shop.second(s * SECOND, None);
+    }
+    assert!(matches!(shop.r.machines["m-0"].listed, Listed::Open { .. }));
+}
+
+/// Copies from a former owner's time, however many, neither settle a region nor
+/// put off the moment from which a machine counts as empty.
+#[test]
+fn copies_prove_nothing() {
+    let mut f = Fixture::new();
+    f.machine("m-1");
+    f.job("req-1", "red", "x", "1", 1, 0);
+    f.share("red", 8_000_000);
+    let mut r = f.take(7, SECOND);
+    let mut answered = 0;
+    for s in 2..30u64 {
+        let v = f.view(s * SECOND);
+        let got = r.on_report(&report("m-1", s, 6, &[]), &v);
+        if !r.settled() {
+            answered += u32::from(matches!(got, Verdict::Commands(_)));
+        }
+        r.tick(&v);
+        assert!(!r.settled() || s > 17, "settled after {s} s");
+    }
+    assert_eq!(answered, 4);
+    assert!(r.settled(), "its lease is over since the last answer");
+    // Nothing of the session that is over counts any more.
+    let late = report("m-1", 99, 7, &[("req-1", 0, 5)]);
+    let v = f.view(31 * SECOND);
+    r.on_report(&report("m-1", 40, 7, &[]), &v);
+    r.clear_machine("m-1", &v);
+    assert_eq!(r.on_report(&late, &v), Verdict::Stale);
+}
