Each job of a pipeline is followed once, however many ways lead to it

By a read-over: with a few dozen steps two wide, each needing both before, a cancellation was followed on once a way, which never ends; a circle in a damaged store likewise. Test many_ways_and_circles (without the check it does not return).

--- a/src/registry/pipelines/tests.rs
+++ b/src/registry/pipelines/tests.rs
@@ -165,3 +165,24 @@
         assert!(Key::parse("st/job/req-1").is_some());
     }
 }
+
+/// Many ways to the same job, and a circle as only a damaged store could hold: each job
+/// is followed once.
+#[test]
+fn many_ways_and_circles() {
+    let mut f = Records::default();
+    f.open("0a", &[], json!({}));
+    f.open("0b", &[], json!({}));
+    for i in 1..60 {
+        let before = [format!("{}a", i - 1), format!("{}b", i - 1)];
+        let before = [&*before[0], &*before[1]];
+        f.open(&format!("{i}a"), &before, json!({}));
+        f.open(&format!("{i}b"), &before, json!({"r": "2"}));
+    }
+    f.open("x", &["y", "0a"], json!({}));
+    f.open("y", &["x"], json!({}));
+    assert_eq!(f.stand(&["0a", "59a", "59b", "x", "y"]), "rwwww");
+    f.cancelled("0a");
+    assert_eq!(f.stand(&["0b", "59a", "59b", "x", "y"]), "rcccc");
+    assert_eq!(f.r.pipelines.waiting().len(), 0);
+}
--- a/src/registry/replica.rs
+++ b/src/registry/replica.rs
@@ -262,6 +262,11 @@
             }
             let next: Vec<String> = self.pipelines.followers(&id).cloned().collect();
             for f in next {
+                // Guards against a job that is come to by many ways being followed on as
+                // often: with a few dozen steps two wide that would never end.
+                if self.pipelines.called_off().contains(&f) {
+                    continue;
+                }
                 self.count_job(&f, false);
                 self.count_job(&f, true);
                 if self.stage(&f) != Some(Stage::Open) {
