--- a/src/sim/meetings.rs
+++ b/src/sim/meetings.rs
@@ -422,3 +422,18 @@
     }
     assert!((1..=30).any(|seed| alone(&play(&day(quiet, seed), Plant::Alone))));
 }
+
+/// Days of a meeting on which a job of low rank waits for 90 s although machines have
+/// room for it, while places are held for a gang. Stands in KNOWN-RED.txt.
+#[test]
+fn a_low_job_waits_beside_held_places() {
+    let all = meetings();
+    let m = all
+        .iter()
+        .find(|m| m.name == "a team at its limit, a new leader, machines that can't be asked")
+        .unwrap();
+    for seed in [21, 39] {
+        let w = play(&day(m, seed), Plant::Nothing);
+        assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
+    }
+}
