--- a/src/leader.rs
+++ b/src/leader.rs
@@ -12,7 +12,7 @@
 use crate::mesh::{Message, RegionReport};
 use crate::model::{Flavor, JobSpec, Kind};
 use crate::region::{narrow_type, waiting_spans, NarrowMemory, View};
-use crate::registry::records::{value, JobRecord, Joint, Key, LotRecord, Part, Stage, LOT};
+use crate::registry::records::{value, JobRecord, Joint, Key, LotRecord, Part, LOT};
 use crate::registry::replica::Versioned;
 use crate::registry::{Txn, Urgency};
 use crate::units::{to_secs, Micros, MILLI, SECOND};
@@ -312,13 +312,7 @@
             .take(AT_ONCE)
             .filter_map(|id| {
                 let r = v.replica.jobs.get(id)?;
-                let rec = JobRecord {
-                    stage: Stage::Cancelled,
-                    parts: Vec::new(),
-                    joint: None,
-                    ..r.value.clone()
-                };
-                Some((Key::Job(id.clone()), r.mark, value(&rec)))
+                Some((Key::Job(id.clone()), r.mark, value(&r.value.cancelled())))
             })
             .collect();
         if !changes.is_empty() {
--- a/src/node.rs
+++ b/src/node.rs
@@ -1448,13 +1448,7 @@
             return self.reactor.respond(conn, Response::new(200, body));
         }
         let key = Key::Job(id.clone());
-        let rec = JobRecord {
-            stage: Stage::Cancelled,
-            spec: r.value.spec.clone(),
-            parts: Vec::new(),
-            joint: None,
-            ended: None,
-        };
+        let rec = r.value.cancelled();
         let txn = Txn {
             when: vec![(key.clone(), r.mark)],
             apply: vec![(key, Some(value(&rec)))],
--- a/src/registry/records.rs
+++ b/src/registry/records.rs
@@ -229,6 +229,17 @@
 );
 
 impl JobRecord {
+    /// The record once it is cancelled: bound to nobody, the submission kept.
+    pub fn cancelled(&self) -> Self {
+        JobRecord {
+            stage: Stage::Cancelled,
+            spec: self.spec.clone(),
+            parts: Vec::new(),
+            joint: None,
+            ended: None,
+        }
+    }
+
     /// The tasks bound to a region.
     pub fn tasks_of(&self, region: &str) -> RangeSet {
         let mut s = RangeSet::default();
