--- /dev/null
+++ b/src/fault_injection.rs
@@ -0,0 +1,42 @@
+//! Faults that tests inject: each leaves out one guard of the safety argument, so that a
+//! test can show that it notices. Outside tests no guard is ever left out.
+
+/// A guard that a test may leave out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Guard {
+    /// A new owner accounts for every machine before it restarts tasks.
+    Recovery,
+    /// An owner's authority ends by its own clock.
+    AuthorityDeadline,
+    /// Only a report newer than all seen is evidence.
+    ReportOrder,
+    /// Tasks start only on a recent read, and peers' word of cancellations is heeded.
+    StartDeadline,
+    /// No task starts before all that its job needs is done.
+    DependencyCheck,
+    /// A job is cancelled along with one that it needs.
+    UpstreamCancellation,
+}
+
+#[cfg(test)]
+thread_local! {
+    static LEFT_OUT: std::cell::Cell<Option<Guard>> = const { std::cell::Cell::new(None) };
+}
+
+/// Leaves out a guard on this thread from now on, or none.
+#[cfg(test)]
+pub fn leave_out(guard: Option<Guard>) {
+    LEFT_OUT.set(guard);
+}
+
+/// Whether a test has left out this guard.
+#[cfg(test)]
+pub fn is_left_out(guard: Guard) -> bool {
+    LEFT_OUT.get() == Some(guard)
+}
+
+/// Whether a test has left out this guard: never outside tests.
+#[cfg(not(test))]
+pub const fn is_left_out(_guard: Guard) -> bool {
+    false
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 #![deny(unsafe_code)]
 #![warn(missing_docs)]
 
+mod fault_injection;
 pub mod fleet;
 pub mod http;
 pub mod intake;
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 
+use crate::fault_injection::{is_left_out, Guard};
 use crate::fleet::{Fleet, FleetEvent};
 use crate::http::{Request, Response};
 use crate::intake::{self, Limiter, Refusal};
@@ -127,14 +128,6 @@
     aims: Aims,
     aims_next: Micros,
     now: Micros,
-    #[cfg(test)]
-    hasty: bool,
-    #[cfg(test)]
-    undying: bool,
-    #[cfg(test)]
-    credulous: bool,
-    #[cfg(test)]
-    eager: bool,
 }
 
 /// How much later than ours the others' reads may have begun to fail for it to be one
@@ -233,43 +226,10 @@
             aims: Aims::new(&settings.objectives, &settings.operator),
             aims_next: 0,
             now: 0,
-            #[cfg(test)]
-            hasty: false,
-            #[cfg(test)]
-            undying: false,
-            #[cfg(test)]
-            credulous: false,
-            #[cfg(test)]
-            eager: false,
             settings,
         }
     }
 
-    /// A fault for the tests to catch: no accounting after a takeover.
-    #[cfg(test)]
-    pub fn plant_hasty_takeover(&mut self) {
-        self.hasty = true;
-    }
-
-    /// A fault for the tests to catch: authority that never ends.
-    #[cfg(test)]
-    pub fn plant_undying(&mut self) {
-        self.undying = true;
-    }
-
-    /// A fault for the tests to catch: starts as long as answers, and cancellations
-    /// that peers tell of passed over.
-    #[cfg(test)]
-    pub fn plant_eager(&mut self) {
-        self.eager = true;
-    }
-
-    /// A fault for the tests to catch: copies taken for news.
-    #[cfg(test)]
-    pub fn plant_credulous(&mut self) {
-        self.credulous = true;
-    }
-
     /// Says who this is and asks for the grant that all else hangs on.
     pub fn begin(&mut self) {
         log::info!(
@@ -308,8 +268,7 @@
     }
 
     fn authority(&self) -> bool {
-        #[cfg(test)]
-        if self.undying {
+        if is_left_out(Guard::AuthorityDeadline) {
             return true;
         }
         self.registry.authority(self.now) != Authority::Ended
@@ -320,8 +279,7 @@
     /// the state service when we did. That is the mesh's word and may be wrong, so it
     /// moves no bound that a rule hangs on; those are the longer deadline's.
     fn may_start(&self) -> bool {
-        #[cfg(test)]
-        if self.undying || self.eager {
+        if is_left_out(Guard::AuthorityDeadline) || is_left_out(Guard::StartDeadline) {
             return self.authority();
         }
         match self.registry.authority(self.now) {
@@ -604,17 +562,8 @@
                     let token = rec.map_or(0, |r| r.token);
                     log::info!("node: region {name}: taken, token {token}");
                     let v = view!(self);
-                    #[allow(unused_mut)]
-                    let mut r = Region::new(&name, token, mark, &v);
-                    #[cfg(test)]
-                    if self.hasty {
-                        r.plant_settled(&v);
-                    }
-                    #[cfg(test)]
-                    if self.credulous {
-                        r.plant_credulous();
-                    }
-                    self.regions.insert(name.clone(), r);
+                    let region = Region::new(&name, token, mark, &v);
+                    self.regions.insert(name.clone(), region);
                     self.claims.remove(&name);
                 }
                 continue;
@@ -960,8 +909,8 @@
                 }
             }
             Message::AskStatus | Message::Status(_) => {}
-            #[cfg(test)]
-            Message::Cancelled { .. } if self.eager || self.undying => {}
+            Message::Cancelled { .. }
+                if is_left_out(Guard::StartDeadline) || is_left_out(Guard::AuthorityDeadline) => {}
             Message::Cancelled { jobs } => {
                 for id in jobs {
                     let rec = self.registry.replica.jobs.get(&id);
--- a/src/region/mod.rs
+++ b/src/region.rs
@@ -16,6 +16,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
+use crate::fault_injection::{is_left_out, Guard};
 use crate::mesh::{CountLine, RegionReport, RoomLine, WaitLine};
 use crate::model::{Flavor, JobId, JobSpec, Kind, RangeSet};
 use crate::quota;
@@ -404,8 +405,6 @@
     next_tick: Micros,
     next_share: Micros,
     next_preempt: Micros,
-    #[cfg(test)]
-    credulous: bool,
 }
 
 impl Region {
@@ -454,8 +453,6 @@
             next_tick: 0,
             next_share: 0,
             next_preempt: 0,
-            #[cfg(test)]
-            credulous: false,
         };
         for (machine, rec) in &v.replica.machines {
             if rec.value.region == name {
@@ -476,6 +473,9 @@
             r.on_progress(&id, v);
         }
         r.try_settle(v);
+        if is_left_out(Guard::Recovery) && !r.settled {
+            r.settle(v);
+        }
         r
     }
 
@@ -832,10 +832,7 @@
         let name = name.clone();
         // Guards against reports that were held back, and copies: they are as
         // old as their number says, and what they list may long be untrue.
-        #[cfg(test)]
-        let believe = self.credulous;
-        #[cfg(not(test))]
-        let believe = false;
+        let believe = is_left_out(Guard::ReportOrder);
         if r.order <= m.order && !believe {
             return Verdict::Stale;
         }
@@ -1160,20 +1157,6 @@
         self.settle(v);
     }
 
-    /// A fault for the tests to catch: settled with nothing accounted for.
-    #[cfg(test)]
-    pub fn plant_settled(&mut self, v: &View<'_>) {
-        if !self.settled {
-            self.settle(v);
-        }
-    }
-
-    /// A fault for the tests to catch: any report is taken for the newest.
-    #[cfg(test)]
-    pub fn plant_credulous(&mut self) {
-        self.credulous = true;
-    }
-
     fn settle(&mut self, v: &View<'_>) {
         self.settled = true;
         self.dirty_all = true;
--- a/src/registry/pipelines.rs
+++ b/src/registry/pipelines.rs
@@ -7,6 +7,7 @@
 
 use super::records::{JobRecord, Stage};
 use super::replica::Versioned;
+use crate::fault_injection::{is_left_out, Guard};
 use crate::model::JobSpec;
 
 /// Most jobs that one change of a record is followed through. A longer chain gets what
@@ -26,13 +27,6 @@
     CalledOff,
 }
 
-#[cfg(test)]
-thread_local! {
-    /// Faults for the tests to catch: every job taken for ready, or none ever for
-    /// cancelled along.
-    pub static PLANT: std::cell::Cell<Option<Gate>> = const { std::cell::Cell::new(None) };
-}
-
 /// The index over jobs that need others.
 #[derive(Debug, Default)]
 pub struct Pipelines {
@@ -62,14 +56,12 @@
 
     /// How a job stands towards those it needs.
     pub fn gate(&self, spec: &JobSpec, jobs: &Jobs) -> Gate {
-        #[cfg(test)]
-        if PLANT.get() == Some(Gate::Ready) {
+        if is_left_out(Guard::DependencyCheck) {
             return Gate::Ready;
         }
         let mut gate = Gate::Ready;
         for n in &spec.needs {
-            #[cfg(test)]
-            if PLANT.get() == Some(Gate::Waits)
+            if is_left_out(Guard::UpstreamCancellation)
                 && jobs.get(n).map(|r| r.value.stage) != Some(Stage::Done)
             {
                 return Gate::Waits;
--- a/src/sim/meetings.rs
+++ b/src/sim/compound_failures.rs
@@ -1,13 +1,13 @@
-//! Troubles that meet: one table of days, each made so that one meeting happens, with
-//! what must be seen of it. A day that can't bring its meeting about proves nothing, so
+//! Compound failures: one table of days, each made so that one combination of faults happens, with
+//! what must be seen of it. A day that can't bring it about proves nothing, so
 //! each says how it knows that it did.
 
 use super::*;
 
-/// What a day must have brought about.
+/// Action a day must have brought about.
 type Happened = fn(&Seen) -> bool;
 
-struct Meeting {
+struct CompoundFailure {
     name: &'static str,
     /// Troubles by their time in seconds.
     faults: fn(&mut fastrand::Rng) -> Vec<(f64, Fault)>,
@@ -29,15 +29,15 @@
     ]
 }
 
-fn meetings() -> Vec<Meeting> {
+fn compound_failures() -> Vec<CompoundFailure> {
     vec![
-        Meeting {
+        CompoundFailure {
             name: "the gap",
             faults: |r| gap(r, 0),
             load: Load::Mixed,
             happened: |s| s.cancels_refused > 0 && s.cancelled_running > 0 && s.answered_blind > 0,
         },
-        Meeting {
+        CompoundFailure {
             name: "the gap, and the machines hang",
             faults: |r| {
                 let hang = r.u64(3..40) * S;
@@ -46,13 +46,13 @@
             load: Load::Mixed,
             happened: |s| s.cancels_refused > 0 && s.cancelled_running > 0,
         },
-        Meeting {
+        CompoundFailure {
             name: "a cancellation meets the end",
             faults: |_| vec![(5.0, Fault::CancelAtEnd(150 * S))],
             load: Load::Mixed,
             happened: |s| s.at_end.0 > 0 && s.at_end.1 > 0,
         },
-        Meeting {
+        CompoundFailure {
             name: "cancellations at the end while the state service is slow",
             faults: |r| {
                 vec![
@@ -63,7 +63,7 @@
             load: Load::Mixed,
             happened: |s| s.at_end.0 + s.at_end.1 > 0,
         },
-        Meeting {
+        CompoundFailure {
             name: "machines reach no controller while the leader changes",
             faults: |r| {
                 let at = 30.0 + r.f64() * 60.0;
@@ -76,7 +76,7 @@
             load: Load::Mixed,
             happened: |s| s.leaders > 1 && s.lapsed > 0,
         },
-        Meeting {
+        CompoundFailure {
             name: "all controllers are away for longer than a lease",
             faults: |r| {
                 vec![
@@ -87,7 +87,7 @@
             load: Load::Mixed,
             happened: |s| s.lapsed > 0 && s.takings >= 6,
         },
-        Meeting {
+        CompoundFailure {
             name: "the leader is cut off with its workers, jobs are cancelled elsewhere",
             faults: |r| {
                 let at = 25.0 + r.f64() * 60.0;
@@ -101,7 +101,7 @@
             load: Load::Mixed,
             happened: |s| s.cancelled_running > 0,
         },
-        Meeting {
+        CompoundFailure {
             name: "transactions are carried out late, after newer ones",
             faults: |r| {
                 vec![
@@ -114,7 +114,7 @@
             load: Load::Mixed,
             happened: |s| s.late_writes > 10,
         },
-        Meeting {
+        CompoundFailure {
             name: "ten leaders in two minutes, also inside an outage",
             faults: |r| {
                 let mut f: Vec<(f64, Fault)> = (0..10)
@@ -127,7 +127,7 @@
             load: Load::Mixed,
             happened: |s| s.leaders >= 8,
         },
-        Meeting {
+        CompoundFailure {
             name: "the leader ends while machines are cut off or deaf",
             faults: |r| {
                 let at = 30.0 + r.f64() * 60.0;
@@ -143,7 +143,7 @@
             load: Load::Mixed,
             happened: |s| s.leaders > 1 && s.takings > 3,
         },
-        Meeting {
+        CompoundFailure {
             name: "the state service is slow, refuses the leader, and is out",
             faults: |r| {
                 let at = 25.0 + r.f64() * 40.0;
@@ -157,7 +157,7 @@
             load: Load::Mixed,
             happened: |s| s.cancelled_running > 0 && s.answered_blind > 0,
         },
-        Meeting {
+        CompoundFailure {
             name: "old reports arrive at a new leader",
             faults: |r| {
                 vec![
@@ -174,7 +174,7 @@
             load: Load::Mixed,
             happened: |s| s.takings > 3,
         },
-        Meeting {
+        CompoundFailure {
             name: "answers are held up for seconds while jobs are cancelled",
             faults: |r| {
                 vec![
@@ -186,7 +186,7 @@
             load: Load::Mixed,
             happened: |s| s.late_answers > 10 && s.cancelled_running > 0,
         },
-        Meeting {
+        CompoundFailure {
             name: "a zone with workers and a controller is cut off for longer than a lease",
             faults: |r| {
                 let at = 25.0 + r.f64() * 60.0;
@@ -198,7 +198,7 @@
             load: Load::Mixed,
             happened: |s| s.cancelled_running > 0 && s.lapsed > 0,
         },
-        Meeting {
+        CompoundFailure {
             name: "a team at its limit, a new leader, machines that can't be asked",
             faults: |r| {
                 let at = 30.0 + r.f64() * 50.0;
@@ -213,7 +213,7 @@
             load: Load::Crowd,
             happened: |s| s.peak_use > 0.99 && s.takings > 3 && s.cancelled_running > 0,
         },
-        Meeting {
+        CompoundFailure {
             name: "jobs of two or three tasks end far apart across new leaders",
             faults: |r| {
                 let mut f: Vec<(f64, Fault)> = (0..6)
@@ -226,7 +226,7 @@
             load: Load::Apart,
             happened: |s| s.split_ends > 2 && s.leaders > 3,
         },
-        Meeting {
+        CompoundFailure {
             name: "more work than room, urgent and not",
             faults: |r| {
                 vec![
@@ -237,7 +237,7 @@
             load: Load::Crowd,
             happened: |s| s.crowded > 5,
         },
-        Meeting {
+        CompoundFailure {
             name: "controllers hand over and back, all end, and one returns within a second",
             faults: |r| {
                 let at = 30.0 + r.f64() * 30.0;
@@ -254,13 +254,13 @@
             load: Load::Mixed,
             happened: |s| s.takings > 5,
         },
-        Meeting {
+        CompoundFailure {
             name: "pipelines on a quiet day",
             faults: |_| Vec::new(),
             load: Load::Pipelines,
             happened: |s| s.after_others > 10 && s.along > 0,
         },
-        Meeting {
+        CompoundFailure {
             name: "pipelines: ends and cancellations across new leaders",
             faults: |r| {
                 let mut f: Vec<(f64, Fault)> = (0..5)
@@ -273,13 +273,13 @@
             load: Load::Pipelines,
             happened: |s| s.after_others > 5 && s.along > 0 && s.leaders > 3,
         },
-        Meeting {
+        CompoundFailure {
             name: "pipelines: the gap, and an outage",
             faults: |r| gap(r, 0),
             load: Load::Pipelines,
             happened: |s| s.after_others > 5 && s.along > 0 && s.answered_blind > 0,
         },
-        Meeting {
+        CompoundFailure {
             name: "pipelines: late writes, a lone leader, all controllers away",
             faults: |r| {
                 vec![
@@ -297,7 +297,7 @@
             load: Load::Pipelines,
             happened: |s| s.after_others > 5 && s.late_writes > 5,
         },
-        Meeting {
+        CompoundFailure {
             name: "gangs and arrays lose machines",
             faults: |r| {
                 let at = 25.0 + r.f64() * 60.0;
@@ -314,7 +314,7 @@
     ]
 }
 
-fn day(m: &Meeting, seed: u64) -> Plan {
+fn day(m: &CompoundFailure, seed: u64) -> Plan {
     let mut rng = fastrand::Rng::with_seed(seed ^ 0x3ee7);
     let faults = (m.faults)(&mut rng);
     Plan {
@@ -333,27 +333,27 @@
     }
 }
 
-/// Every meeting happens on some of the seeds, and whenever it does the rules hold and
+/// Every compound failure happens on some of the seeds, and whenever it does the rules hold and
 /// all work ends.
 #[test]
-fn meetings_keep_the_rules() {
-    let only = std::env::var("SALTTILLER_MEETING").ok();
+fn compound_failures_keep_the_rules() {
+    let only = std::env::var("SALTTILLER_SCENARIO").ok();
     let one = std::env::var("SALTTILLER_SEED").ok();
     let one: Option<u64> = one.and_then(|s| s.parse().ok());
     let mut failed = Vec::new();
-    for m in meetings() {
+    for m in compound_failures() {
         if only.as_ref().is_some_and(|o| !m.name.contains(o.as_str())) {
             continue;
         }
         let mut happened = 0;
-        let many = SEEDS_A_MEETING.max(*seeds().end() as usize / 4);
+        let many = SEEDS_EACH.max(*seeds().end() as usize / 4);
         let list: Vec<u64> = match one {
             Some(seed) => vec![seed],
             None => seeds().take(many).collect(),
         };
         for seed in list {
             let p = day(&m, seed);
-            let w = play(&p, Plant::Nothing);
+            let w = play(&p, None);
             happened += u32::from((m.happened)(&w.seen));
             let open: Vec<&String> = w.left_open();
             let late = w.seen.starts_after_cancel;
@@ -375,65 +375,74 @@
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
-const SEEDS_A_MEETING: usize = 8;
+const SEEDS_EACH: usize = 8;
 
-/// The pieces that guard against a meeting are needed: without them its day goes wrong.
+/// The pieces that guard against a compound failure are needed: without them its day goes wrong.
 #[test]
-fn without_its_guard_a_meeting_goes_wrong() {
-    let planted = |name: &str, plant: Plant, wrong: fn(&World) -> bool| {
-        let all = meetings();
+fn without_its_guard_a_compound_failure_breaks_a_rule() {
+    let noticed = |name: &str, guard: Guard, wrong: fn(&World) -> bool| {
+        let all = compound_failures();
         let m = all.iter().find(|m| m.name == name).unwrap();
-        let caught = (1..=60).any(|seed| wrong(&play(&day(m, seed), plant)));
-        assert!(caught, "{name}: {plant:?} isn't noticed");
+        let caught = (1..=60).any(|seed| wrong(&play(&day(m, seed), Some(guard))));
+        assert!(caught, "{name}: {guard:?} left out isn't noticed");
     };
     let broke = |w: &World| !w.broken.is_empty();
-    planted("the gap", Plant::Eager, |w| w.seen.starts_after_cancel > 0);
-    planted("the gap", Plant::Undying, broke);
-    planted("the gap, and the machines hang", Plant::Undying, broke);
-    planted(
+    noticed("the gap", Guard::StartDeadline, |w| {
+        w.seen.starts_after_cancel > 0
+    });
+    noticed("the gap", Guard::AuthorityDeadline, broke);
+    noticed(
+        "the gap, and the machines hang",
+        Guard::AuthorityDeadline,
+        broke,
+    );
+    noticed(
         "the leader is cut off with its workers, jobs are cancelled elsewhere",
-        Plant::Undying,
+        Guard::AuthorityDeadline,
         broke,
     );
-    planted(
+    noticed(
         "the leader ends while machines are cut off or deaf",
-        Plant::Hasty,
+        Guard::Recovery,
         broke,
     );
-    planted(
+    noticed(
         "ten leaders in two minutes, also inside an outage",
-        Plant::Hasty,
+        Guard::Recovery,
         broke,
     );
-    planted(
+    noticed(
         "old reports arrive at a new leader",
-        Plant::Credulous,
+        Guard::ReportOrder,
         broke,
     );
     let broke = |rule: &'static str| move |w: &World| w.broken.iter().any(|b| b.contains(rule));
     let gateless = broke("too_early");
     let alone = broke("orphaned");
-    let all = meetings();
+    let all = compound_failures();
     let quiet = all.iter().find(|m| m.name == "pipelines on a quiet day");
     let quiet = quiet.unwrap();
     for seed in 1..=4 {
         let p = day(quiet, seed);
-        assert!(gateless(&play(&p, Plant::Gateless)), "seed {seed}");
+        assert!(
+            gateless(&play(&p, Some(Guard::DependencyCheck))),
+            "seed {seed}"
+        );
     }
-    assert!((1..=30).any(|seed| alone(&play(&day(quiet, seed), Plant::Alone))));
+    assert!((1..=30).any(|seed| alone(&play(&day(quiet, seed), Some(Guard::UpstreamCancellation)))));
 }
 
 /// Days on which a job once waited for 90 s beside free machines, because a gang of its
 /// team gathered the team's share from another region.
 #[test]
 fn no_job_waits_long_for_a_gang_that_lacks_its_share() {
-    let all = meetings();
+    let all = compound_failures();
     let m = all
         .iter()
         .find(|m| m.name == "a team at its limit, a new leader, machines that can't be asked")
         .unwrap();
     for seed in [21, 39] {
-        let w = play(&day(m, seed), Plant::Nothing);
+        let w = play(&day(m, seed), None);
         assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
     }
 }
