Priority is handed on to the end of a chain, however long; work of an end is counted

Cause, by reading: a change was handed on through 512 jobs, and what lay behind them got nothing until it was ready itself, though the comment said otherwise. Now the rest waits in the index and follows by as many steps each time the controller goes round. Cancelling goes through the whole chain at once, as it did: a rest that came later would let two controllers answer differently. Terms: readiness, dependents, cancelled upstream, effective spec, propagation.

--- a/src/leader.rs
+++ b/src/leader.rs
@@ -304,9 +304,9 @@
     /// Puts on record that jobs were cancelled along with those that they need. Everybody
     /// derives it from the records, so nothing hangs on when this comes: it is for the
     /// versions before 0.3, should one ever be brought back, and for the index.
-    fn write_called_off(&mut self, v: &View<'_>) {
+    fn write_cancelled_upstream(&mut self, v: &View<'_>) {
         const AT_ONCE: usize = 4;
-        let ids = v.replica.pipelines.called_off().iter();
+        let ids = v.replica.pipelines.cancelled_upstream().iter();
         let ids = ids.filter(|id| !self.writing.contains(&Key::Job((*id).clone())));
         let changes: Vec<_> = ids
             .take(AT_ONCE)
@@ -322,7 +322,7 @@
 
     /// Binds every job that is not bound yet.
     pub fn bind(&mut self, v: &View<'_>) {
-        self.write_called_off(v);
+        self.write_cancelled_upstream(v);
         if v.replica.unbound.is_empty() {
             return;
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -118,7 +118,7 @@
     /// Teams whose limit other regions find used up.
     short: BTreeMap<String, u64>,
     /// Jobs that peers say are cancelled and the replica doesn't show so yet.
-    called_off: BTreeSet<String>,
+    reported_cancelled: BTreeSet<String>,
     /// Jobs cancelled here that the peers are to be told of.
     to_tell: Vec<String>,
     mesh_next: Micros,
@@ -134,7 +134,7 @@
 /// outage: what they committed in between they told us.
 const TOGETHER: Micros = 1500 * MILLI;
 /// Most cancellations that are remembered until the replica shows them.
-const CALLED_OFF: usize = 10_000;
+const MAX_REPORTED_CANCELLED: usize = 10_000;
 /// How long a region must have had no owner before a stranger takes it.
 const HOME_FIRST: Micros = 3 * SECOND;
 /// How long a region's home must have been well before it gets its region back.
@@ -151,7 +151,7 @@
     ($s:ident) => {
         View {
             starts: $s.may_start(),
-            called_off: &$s.called_off,
+            reported_cancelled: &$s.reported_cancelled,
             replica: &$s.registry.replica,
             settings: &$s.settings,
             now: $s.now,
@@ -218,7 +218,7 @@
                 .collect(),
             reports: Reports::new(),
             short: BTreeMap::new(),
-            called_off: BTreeSet::new(),
+            reported_cancelled: BTreeSet::new(),
             to_tell: Vec::new(),
             mesh_next: 0,
             mesh_count: 0,
@@ -351,6 +351,11 @@
                 self.reactor.send(i, &m);
             }
         }
+        if self.registry.replica.has_unpropagated() {
+            self.registry.replica.continue_propagation();
+            self.on_changed(Vec::new());
+            until = self.now;
+        }
         self.expire_waiting();
         if let Some(w) = self.waiting.iter().map(|w| w.give_up).min() {
             until = until.min(w);
@@ -459,9 +464,9 @@
     fn on_loaded(&mut self) {
         self.registry.replica.take_touched();
         let known = &self.registry.replica.jobs;
-        self.called_off
+        self.reported_cancelled
             .retain(|id| known.get(id).is_none_or(|r| r.value.stage == Stage::Open));
-        self.registry.replica.take_reshaped();
+        self.registry.replica.take_respecified();
         let v = view!(self);
         for r in self.regions.values_mut() {
             r.on_loaded(&v);
@@ -470,7 +475,7 @@
 
     fn on_changed(&mut self, keys: Vec<Key>) {
         let machines = self.registry.replica.take_touched();
-        let reshaped = self.registry.replica.take_reshaped();
+        let respecified = self.registry.replica.take_respecified();
         let v = view!(self);
         for name in &machines {
             for r in self.regions.values_mut() {
@@ -482,7 +487,7 @@
                 }
             }
         }
-        for id in &reshaped {
+        for id in &respecified {
             for r in self.regions.values_mut() {
                 r.on_job(id, &v, false);
             }
@@ -519,7 +524,7 @@
             }
         }
         for id in shown {
-            self.called_off.remove(&id);
+            self.reported_cancelled.remove(&id);
         }
     }
 
@@ -915,13 +920,16 @@
                 for id in jobs {
                     let rec = self.registry.replica.jobs.get(&id);
                     let shown = rec.is_some_and(|r| r.value.stage != Stage::Open);
-                    if shown || !is_job_id(&id) || self.called_off.len() >= CALLED_OFF {
+                    if shown
+                        || !is_job_id(&id)
+                        || self.reported_cancelled.len() >= MAX_REPORTED_CANCELLED
+                    {
                         continue;
                     }
-                    self.called_off.insert(id.clone());
+                    self.reported_cancelled.insert(id.clone());
                     let v = view!(self);
                     for r in self.regions.values_mut() {
-                        r.call_off(&id, &v);
+                        r.on_reported_cancelled(&id, &v);
                     }
                 }
             }
--- a/src/region.rs
+++ b/src/region.rs
@@ -337,14 +337,14 @@
     /// Whether tasks may be started, not just kept.
     pub starts: bool,
     /// Jobs that are cancelled for sure though the replica may not show it yet.
-    pub called_off: &'a BTreeSet<String>,
+    pub reported_cancelled: &'a BTreeSet<String>,
 }
 
 impl View<'_> {
     /// Whether nothing of a job is to run any more, or it is on no record.
     fn over(&self, id: &str) -> bool {
         let stage = self.replica.stage(id);
-        stage != Some(Stage::Open) || self.called_off.contains(id)
+        stage != Some(Stage::Open) || self.reported_cancelled.contains(id)
     }
 }
 
@@ -587,7 +587,7 @@
     }
 
     /// A job is cancelled, as another controller has it from the state service.
-    pub fn call_off(&mut self, id: &str, v: &View<'_>) {
+    pub fn on_reported_cancelled(&mut self, id: &str, v: &View<'_>) {
         if let Some(id) = self.jobs.get_key_value(id).map(|(k, _)| k.clone()) {
             log::info!("region: {id}: cancelled, as a peer says");
             self.end_job(&id, v);
--- a/src/region/tests.rs
+++ b/src/region/tests.rs
@@ -10,7 +10,7 @@
     rev: u64,
     short: BTreeMap<String, u64>,
     starts: bool,
-    called_off: BTreeSet<String>,
+    reported_cancelled: BTreeSet<String>,
 }
 
 impl Fixture {
@@ -21,7 +21,7 @@
             rev: 0,
             short: BTreeMap::new(),
             starts: true,
-            called_off: BTreeSet::new(),
+            reported_cancelled: BTreeSet::new(),
         };
         f.put(
             "st/flavor/box",
@@ -55,7 +55,7 @@
             wall: now,
             short: &self.short,
             starts: self.starts,
-            called_off: &self.called_off,
+            reported_cancelled: &self.reported_cancelled,
         }
     }
     fn take(&self, token: u64, now: Micros) -> Region {
--- a/src/registry/pipelines.rs
+++ b/src/registry/pipelines.rs
@@ -1,7 +1,9 @@
-//! Jobs that need others: which wait, which are cancelled along, and what a job has from
-//! those that need it. All of it is derived from the jobs' records, so every controller
-//! finds the same with no transaction of its own, and a new leader what the old one had.
+//! Dependencies between jobs: which jobs wait, which are cancelled along with one that
+//! they need, and what a job inherits from those that need it. All of it is derived from
+//! the jobs' records, so every controller finds the same without a transaction of its own,
+//! and a new leader finds what the old one had.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -10,169 +12,217 @@
 use crate::fault_injection::{is_left_out, Guard};
 use crate::model::JobSpec;
 
-/// Most jobs that one change of a record is followed through. A longer chain gets what
-/// lies behind that with later changes; only rank and urgency hang on it.
-const MOST_STEPS: usize = 512;
+/// Most jobs to which one change hands priority and deadline on; the rest follows with
+/// the next calls of [`Pipelines::continue_propagation`].
+pub const MAX_STEPS_PER_CHANGE: usize = 512;
 
 type Jobs = BTreeMap<String, Versioned<JobRecord>>;
 
 /// How a job stands towards the jobs it needs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Gate {
+pub enum Readiness {
     /// All are done, or it needs none.
     Ready,
     /// Some are not over, or on no record.
-    Waits,
-    /// One is cancelled, itself or along with another: so is this one.
-    CalledOff,
+    Waiting,
+    /// One is cancelled, by its user or along with another: so is this one.
+    CancelledUpstream,
 }
 
 /// The index over jobs that need others.
 #[derive(Debug, Default)]
 pub struct Pipelines {
     /// By a needed job, the open jobs that name it.
-    followers: BTreeMap<String, BTreeSet<String>>,
+    dependents: BTreeMap<String, BTreeSet<String>>,
     /// Open on record, but waiting for others.
-    waits: BTreeSet<String>,
+    waiting: BTreeSet<String>,
     /// Open on record, but cancelled with one that they need.
-    called_off: BTreeSet<String>,
+    cancelled_upstream: BTreeSet<String>,
+    /// Jobs to which a change is still to be handed on.
+    unpropagated: BTreeSet<String>,
+    /// Records looked at so far, for tests that bound the work of a change.
+    lookups: Cell<u64>,
 }
 
 impl Pipelines {
     /// Jobs that wait for others.
     pub fn waiting(&self) -> &BTreeSet<String> {
-        &self.waits
+        &self.waiting
     }
 
     /// Jobs that are cancelled with others and not yet so on record.
-    pub fn called_off(&self) -> &BTreeSet<String> {
-        &self.called_off
+    pub fn cancelled_upstream(&self) -> &BTreeSet<String> {
+        &self.cancelled_upstream
     }
 
     /// The open jobs that name this one.
-    pub fn followers(&self, id: &str) -> impl Iterator<Item = &String> {
-        self.followers.get(id).into_iter().flatten()
+    pub fn dependents(&self, id: &str) -> impl Iterator<Item = &String> {
+        self.dependents.get(id).into_iter().flatten()
+    }
+
+    /// Records looked at so far.
+    pub fn lookups(&self) -> u64 {
+        self.lookups.get()
+    }
+
+    fn record<'a>(&self, id: &str, jobs: &'a Jobs) -> Option<&'a JobRecord> {
+        self.lookups.set(self.lookups.get() + 1);
+        jobs.get(id).map(|r| &r.value)
     }
 
     /// How a job stands towards those it needs.
-    pub fn gate(&self, spec: &JobSpec, jobs: &Jobs) -> Gate {
+    pub fn readiness(&self, spec: &JobSpec, jobs: &Jobs) -> Readiness {
         if is_left_out(Guard::DependencyCheck) {
-            return Gate::Ready;
+            return Readiness::Ready;
         }
-        let mut gate = Gate::Ready;
-        for n in &spec.needs {
-            if is_left_out(Guard::UpstreamCancellation)
-                && jobs.get(n).map(|r| r.value.stage) != Some(Stage::Done)
-            {
-                return Gate::Waits;
+        let mut readiness = Readiness::Ready;
+        for needed in &spec.needs {
+            let stage = self.record(needed, jobs).map(|r| r.stage);
+            if is_left_out(Guard::UpstreamCancellation) && stage != Some(Stage::Done) {
+                return Readiness::Waiting;
             }
-            match jobs.get(n).map(|r| r.value.stage) {
+            match stage {
                 Some(Stage::Done) => {}
-                Some(Stage::Cancelled) => return Gate::CalledOff,
-                Some(Stage::Open) if self.called_off.contains(n) => return Gate::CalledOff,
-                Some(Stage::Open) | None => gate = Gate::Waits,
+                Some(Stage::Cancelled) => return Readiness::CancelledUpstream,
+                Some(Stage::Open) if self.cancelled_upstream.contains(needed) => {
+                    return Readiness::CancelledUpstream
+                }
+                Some(Stage::Open) | None => readiness = Readiness::Waiting,
             }
         }
-        gate
+        readiness
     }
 
     /// Enters an open job under the jobs it needs. Returns how it stands.
-    pub fn enter(&mut self, id: &str, spec: &JobSpec, jobs: &Jobs) -> Gate {
-        for n in &spec.needs {
-            let f = self.followers.entry(n.clone()).or_default();
-            f.insert(id.to_owned());
+    pub fn insert(&mut self, id: &str, spec: &JobSpec, jobs: &Jobs) -> Readiness {
+        for needed in &spec.needs {
+            let dependents = self.dependents.entry(needed.clone()).or_default();
+            dependents.insert(id.to_owned());
         }
-        let gate = self.gate(spec, jobs);
-        match gate {
-            Gate::Ready => {}
-            Gate::Waits => {
-                self.waits.insert(id.to_owned());
+        let readiness = self.readiness(spec, jobs);
+        match readiness {
+            Readiness::Ready => {}
+            Readiness::Waiting => {
+                self.waiting.insert(id.to_owned());
             }
-            Gate::CalledOff => {
-                self.called_off.insert(id.to_owned());
+            Readiness::CancelledUpstream => {
+                self.cancelled_upstream.insert(id.to_owned());
             }
         }
-        gate
+        readiness
     }
 
     /// Takes an open job out. Returns how it stood when it was entered.
-    pub fn leave(&mut self, id: &str, spec: &JobSpec) -> Gate {
-        for n in &spec.needs {
-            if let Some(f) = self.followers.get_mut(n) {
-                f.remove(id);
-                if f.is_empty() {
-                    self.followers.remove(n);
+    pub fn remove(&mut self, id: &str, spec: &JobSpec) -> Readiness {
+        for needed in &spec.needs {
+            if let Some(dependents) = self.dependents.get_mut(needed) {
+                dependents.remove(id);
+                if dependents.is_empty() {
+                    self.dependents.remove(needed);
                 }
             }
         }
-        if self.waits.remove(id) {
-            Gate::Waits
-        } else if self.called_off.remove(id) {
-            Gate::CalledOff
+        if self.waiting.remove(id) {
+            Readiness::Waiting
+        } else if self.cancelled_upstream.remove(id) {
+            Readiness::CancelledUpstream
         } else {
-            Gate::Ready
+            Readiness::Ready
         }
     }
 
-    /// A job as it is to be served: with the highest rank of all that need it, with what
-    /// their deadlines leave it, and its times from the moment at which it became ready.
-    pub fn shaped(&self, id: &str, spec: &Rc<JobSpec>, jobs: &Jobs) -> Option<Rc<JobSpec>> {
+    /// A job as it is to be served: with the highest priority of all that need it, with
+    /// what their deadlines leave it, and its times from the moment at which it became
+    /// ready. `None` if that is what it has.
+    pub fn effective_spec(&self, id: &str, spec: &Rc<JobSpec>, jobs: &Jobs) -> Option<Rc<JobSpec>> {
         let base = spec.recorded.as_ref().unwrap_or(spec);
-        if base.needs.is_empty() && !self.followers.contains_key(id) {
+        if base.needs.is_empty() && !self.dependents.contains_key(id) {
             // Nobody needs it any more: as on record.
             return spec.recorded.clone();
         }
-        let mut s = JobSpec::clone(base);
-        s.recorded = Some(base.clone());
-        if self.gate(base, jobs) == Gate::Ready {
-            let ended = base.needs.iter().filter_map(|n| jobs.get(n)?.value.ended);
-            let ready = ended.max().unwrap_or(0).max(base.submitted);
-            let waited = ready - base.submitted;
+        let mut served = JobSpec::clone(base);
+        served.recorded = Some(base.clone());
+        if self.readiness(base, jobs) == Readiness::Ready {
+            let ends = base.needs.iter();
+            let ends = ends.filter_map(|needed| self.record(needed, jobs)?.ended);
+            let ready_at = ends.max().unwrap_or(0).max(base.submitted);
+            let waited = ready_at - base.submitted;
             // The deadline alone counts from the submission.
-            s.deadline = base.deadline.map(|d| d.saturating_sub(waited));
-            s.submitted = ready;
+            served.deadline = base.deadline.map(|d| d.saturating_sub(waited));
+            served.submitted = ready_at;
         }
-        for f in self.followers(id) {
-            let Some(f) = jobs.get(f).and_then(|r| r.value.open()) else {
+        for dependent in self.dependents(id) {
+            let Some(dependent) = self.record(dependent, jobs).and_then(JobRecord::open) else {
                 continue;
             };
-            s.rank = s.rank.max(f.rank);
-            if let Some(d) = f.deadline {
-                let by = (f.submitted + d).saturating_sub(f.estimate);
-                let left = by.saturating_sub(s.submitted);
-                s.deadline = Some(s.deadline.map_or(left, |own| own.min(left)));
+            served.rank = served.rank.max(dependent.rank);
+            if let Some(deadline) = dependent.deadline {
+                let due = (dependent.submitted + deadline).saturating_sub(dependent.estimate);
+                let left = due.saturating_sub(served.submitted);
+                served.deadline = Some(served.deadline.map_or(left, |own| own.min(left)));
             }
         }
-        (s != **spec).then(|| Rc::new(s))
+        (served != **spec).then(|| Rc::new(served))
     }
 
-    /// Hands what a job has to those that it needs, and so on. Returns the jobs that
-    /// are to be served otherwise from now on.
-    pub fn reshape(&self, from: &str, jobs: &mut Jobs) -> Vec<String> {
+    /// Hands what a job has to those that it needs, and so on. Returns the jobs that are
+    /// to be served otherwise from now on. A long chain is not followed to its end in one
+    /// go: see [`Pipelines::continue_propagation`].
+    pub fn propagate(&mut self, from: &str, jobs: &mut Jobs) -> Vec<String> {
+        let Some(spec) = jobs.get(from).and_then(|r| r.value.open()) else {
+            return Vec::new();
+        };
+        let needs = spec.needs.clone();
         let mut changed = Vec::new();
-        let mut todo = vec![from.to_owned()];
+        if self.update(from, jobs) {
+            changed.push(from.to_owned());
+        }
+        self.propagate_from(needs, jobs, &mut changed);
+        changed
+    }
+
+    /// Whether a chain longer than [`MAX_STEPS_PER_CHANGE`] is still to be followed.
+    pub fn has_unpropagated(&self) -> bool {
+        !self.unpropagated.is_empty()
+    }
+
+    /// Follows what earlier changes left, for as many steps as one change may take.
+    pub fn continue_propagation(&mut self, jobs: &mut Jobs) -> Vec<String> {
+        let rest = std::mem::take(&mut self.unpropagated);
+        let mut changed = Vec::new();
+        self.propagate_from(rest.into_iter().collect(), jobs, &mut changed);
+        changed
+    }
+
+    fn propagate_from(&mut self, mut todo: Vec<String>, jobs: &mut Jobs, out: &mut Vec<String>) {
         let mut steps = 0;
         while let Some(id) = todo.pop() {
-            steps += 1;
-            if steps > MOST_STEPS {
-                break;
-            }
-            let Some(spec) = jobs.get(&id).and_then(|r| r.value.open()).cloned() else {
-                continue;
-            };
-            let new = self.shaped(&id, &spec, jobs);
-            let differs = new.is_some();
-            if let (Some(new), Some(r)) = (new, jobs.get_mut(&id)) {
-                r.value.spec = Some(new);
+            if steps == MAX_STEPS_PER_CHANGE {
+                self.unpropagated.insert(id);
+                self.unpropagated.extend(todo);
+                return;
             }
-            if differs || id == from {
-                todo.extend(spec.needs.iter().cloned());
-            }
-            if differs {
-                changed.push(id);
+            steps += 1;
+            if self.update(&id, jobs) {
+                let spec = jobs.get(&id).and_then(|r| r.value.open());
+                todo.extend(spec.into_iter().flat_map(|s| s.needs.iter().cloned()));
+                out.push(id);
             }
         }
-        changed
+    }
+
+    /// Brings a job's effective description up to date. Returns whether it changed.
+    fn update(&self, id: &str, jobs: &mut Jobs) -> bool {
+        let Some(spec) = jobs.get(id).and_then(|r| r.value.open()).cloned() else {
+            return false;
+        };
+        let Some(served) = self.effective_spec(id, &spec, jobs) else {
+            return false;
+        };
+        if let Some(record) = jobs.get_mut(id) {
+            record.value.spec = Some(served);
+        }
+        true
     }
 }
 
--- a/src/registry/pipelines/tests.rs
+++ b/src/registry/pipelines/tests.rs
@@ -2,6 +2,7 @@
 
 use serde_json::{json, Value};
 
+use super::MAX_STEPS_PER_CHANGE;
 use crate::model::Rank;
 use crate::registry::records::{value, JobRecord, Key, Stage};
 use crate::registry::replica::Replica;
@@ -186,3 +187,98 @@
     assert_eq!(f.stand(&["0b", "59a", "59b", "x", "y"]), "rcccc");
     assert_eq!(f.r.pipelines.waiting().len(), 0);
 }
+
+/// A chain of jobs, each needing the one before it: `0` first.
+fn chain(length: usize) -> Records {
+    let mut f = Records::default();
+    f.open("0", &[], json!({}));
+    for i in 1..length {
+        f.open(&i.to_string(), &[&(i - 1).to_string()], json!({}));
+    }
+    f
+}
+
+/// What an event makes the index look at.
+fn lookups(f: &mut Records, event: impl FnOnce(&mut Records)) -> u64 {
+    let before = f.r.pipelines.lookups();
+    event(f);
+    f.r.pipelines.lookups() - before
+}
+
+/// A chain longer than one change is followed: the rest follows by bounded steps, and the
+/// first job has the priority and the deadline of the last in the end.
+#[test]
+fn a_long_chain_gets_priority_by_bounded_steps() {
+    const LENGTH: usize = 3 * MAX_STEPS_PER_CHANGE;
+    let mut f = chain(LENGTH);
+    let last = LENGTH.to_string();
+    let before = (LENGTH - 1).to_string();
+    let urgent = json!({"r": "2", "e": 0, "d": 30_000_000_000u64});
+    let first = lookups(&mut f, |f| f.open(&last, &[&before], urgent));
+    let bound = 4 * MAX_STEPS_PER_CHANGE as u64;
+    assert!(first <= bound, "{first} lookups");
+    let rank = |f: &Records, id: &str| f.r.jobs[id].value.open().unwrap().rank;
+    assert_eq!(rank(&f, &before), Rank::High);
+    assert_eq!(rank(&f, "0"), Rank::Low, "not yet");
+    let mut rounds = 0;
+    while f.r.has_unpropagated() {
+        let looked = lookups(&mut f, |f| f.r.continue_propagation());
+        assert!(looked <= bound, "{looked} lookups");
+        rounds += 1;
+    }
+    assert!((2..=4).contains(&rounds), "{rounds}");
+    assert_eq!(rank(&f, "0"), Rank::High);
+    let spec = f.r.jobs["0"].value.open().unwrap();
+    // The estimates, 10 s each, of all behind it but the last.
+    let left = 30_000_000_000 - (LENGTH as u64 - 1) * 10_000_000;
+    assert_eq!(spec.deadline, Some(left));
+}
+
+/// Cancelling the first of a long chain cancels all of it at once, each job looked at a
+/// few times: a rest that came later would let two controllers answer differently.
+#[test]
+fn a_long_chain_is_cancelled_at_once() {
+    const LENGTH: usize = 3 * MAX_STEPS_PER_CHANGE;
+    let mut f = chain(LENGTH);
+    let looked = lookups(&mut f, |f| f.cancelled("0"));
+    assert!(looked <= 8 * LENGTH as u64, "{looked} lookups");
+    for i in 1..LENGTH {
+        assert_eq!(f.r.stage(&i.to_string()), Some(Stage::Cancelled), "{i}");
+    }
+    assert_eq!(f.r.pipelines.cancelled_upstream().len(), LENGTH - 1);
+}
+
+/// Hundreds of dependents of one job, hundreds of needs of one job, hundreds of steps: an
+/// end costs in proportion to what hangs directly on it.
+#[test]
+fn the_work_of_an_end_is_bounded() {
+    const MANY: usize = 400;
+    let names: Vec<String> = (1..=MANY).map(|i| i.to_string()).collect();
+    let mut fan_out = Records::default();
+    fan_out.open("0", &[], json!({}));
+    for id in &names {
+        fan_out.open(id, &["0"], json!({}));
+    }
+    let looked = lookups(&mut fan_out, |f| f.done("0", 200_000_000));
+    assert!(looked <= 8 * MANY as u64, "fan out: {looked} lookups");
+    assert_eq!(fan_out.r.unbound.len(), MANY);
+
+    let mut fan_in = Records::default();
+    for id in &names {
+        fan_in.open(id, &[], json!({}));
+    }
+    let needs: Vec<&str> = names.iter().map(String::as_str).collect();
+    fan_in.open("0", &needs, json!({}));
+    for (i, id) in names.iter().enumerate() {
+        assert_eq!(fan_in.stand(&["0"]), "w", "{i} done");
+        let looked = lookups(&mut fan_in, |f| f.done(id, 200_000_000));
+        assert!(looked <= 8 * MANY as u64, "fan in: {looked} lookups");
+    }
+    assert_eq!(fan_in.stand(&["0"]), "r");
+
+    let mut steps = chain(MANY);
+    for i in 0..MANY {
+        let looked = lookups(&mut steps, |f| f.done(&i.to_string(), 200_000_000));
+        assert!(looked <= 16, "step {i}: {looked} lookups");
+    }
+}
--- a/src/registry/replica.rs
+++ b/src/registry/replica.rs
@@ -6,7 +6,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
-use super::pipelines::{Gate, Pipelines};
+use super::pipelines::{Pipelines, Readiness};
 use super::records::{
     read_bitmap, JobRecord, Key, LeaderRecord, LotRecord, MachineRecord, Part, QuotaRecord,
     RegionRecord, RollRecord, Stage,
@@ -72,7 +72,7 @@
     /// Jobs that need others.
     pub pipelines: Pipelines,
     /// Jobs that another job's record has changed, since they were last asked for.
-    reshaped: std::collections::BTreeSet<String>,
+    respecified: std::collections::BTreeSet<String>,
 }
 
 fn set<K: Ord, T: DeserializeOwned>(
@@ -196,11 +196,11 @@
                 let res = set(&mut self.jobs, j.clone(), value, mark);
                 self.count_job(j, true);
                 if res.is_ok() {
-                    self.follow_pipeline(j);
+                    self.update_dependents(j);
                     // One that is over asks no more of those that it needed.
                     if self.jobs.get(j).is_none_or(|r| r.value.open().is_none()) {
                         for n in needed {
-                            self.reshape(&n);
+                            self.propagate(&n);
                         }
                     }
                 }
@@ -234,14 +234,14 @@
 
     /// Jobs that are to be served otherwise because of another's record, since the last
     /// call.
-    pub fn take_reshaped(&mut self) -> Vec<String> {
-        std::mem::take(&mut self.reshaped).into_iter().collect()
+    pub fn take_respecified(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.respecified).into_iter().collect()
     }
 
     /// Where a job stands: as on record, or cancelled along with one that it needs.
     pub fn stage(&self, id: &str) -> Option<Stage> {
         let on_record = self.jobs.get(id)?.value.stage;
-        if self.pipelines.called_off().contains(id) {
+        if self.pipelines.cancelled_upstream().contains(id) {
             return Some(Stage::Cancelled);
         }
         Some(on_record)
@@ -249,41 +249,52 @@
 
     /// Whether all that a job needs is done.
     pub fn is_ready(&self, spec: &JobSpec) -> bool {
-        spec.needs.is_empty() || self.pipelines.gate(spec, &self.jobs) == Gate::Ready
+        spec.needs.is_empty() || self.pipelines.readiness(spec, &self.jobs) == Readiness::Ready
     }
 
     /// A job's record changed: those that need it may be ready, or cancelled along, and
     /// those that it needs are to be served otherwise.
-    fn follow_pipeline(&mut self, id: &str) {
+    fn update_dependents(&mut self, id: &str) {
         let mut todo = vec![id.to_owned()];
         while let Some(id) = todo.pop() {
             if self.stage(&id).is_none_or(|s| s == Stage::Open) {
                 continue;
             }
-            let next: Vec<String> = self.pipelines.followers(&id).cloned().collect();
-            for f in next {
+            let dependents: Vec<String> = self.pipelines.dependents(&id).cloned().collect();
+            for dependent in dependents {
                 // Guards against a job that is come to by many ways being followed on as
                 // often: with a few dozen steps two wide that would never end.
-                if self.pipelines.called_off().contains(&f) {
+                if self.pipelines.cancelled_upstream().contains(&dependent) {
                     continue;
                 }
-                self.count_job(&f, false);
-                self.count_job(&f, true);
-                if self.stage(&f) != Some(Stage::Open) {
-                    log::debug!("registry: {f}: cancelled along with {id}");
-                    todo.push(f);
-                } else if self.open.contains(&f) {
-                    log::debug!("registry: {f}: ready, {id} was the last that it needs");
-                    self.reshape(&f);
+                self.count_job(&dependent, false);
+                self.count_job(&dependent, true);
+                if self.stage(&dependent) != Some(Stage::Open) {
+                    log::debug!("registry: {dependent}: cancelled along with {id}");
+                    todo.push(dependent);
+                } else if self.open.contains(&dependent) {
+                    log::debug!("registry: {dependent}: ready, {id} was the last that it needs");
+                    self.propagate(&dependent);
                 }
             }
         }
-        self.reshape(id);
+        self.propagate(id);
     }
 
-    fn reshape(&mut self, id: &str) {
-        let changed = self.pipelines.reshape(id, &mut self.jobs);
-        self.reshaped.extend(changed);
+    fn propagate(&mut self, id: &str) {
+        let changed = self.pipelines.propagate(id, &mut self.jobs);
+        self.respecified.extend(changed);
+    }
+
+    /// Whether a change of priority or deadline is still to be handed on along a chain.
+    pub fn has_unpropagated(&self) -> bool {
+        self.pipelines.has_unpropagated()
+    }
+
+    /// Hands such a change on by a bounded number of steps.
+    pub fn continue_propagation(&mut self) {
+        let changed = self.pipelines.continue_propagation(&mut self.jobs);
+        self.respecified.extend(changed);
     }
 
     /// Machines whose view changed since the last call.
@@ -401,20 +412,20 @@
         let Some(spec) = rec.value.open() else {
             return;
         };
-        let gate = if enter {
+        let readiness = if enter {
             let spec = spec.recorded.as_ref().unwrap_or(spec).clone();
-            let gate = self.pipelines.enter(id, &spec, &self.jobs);
+            let readiness = self.pipelines.insert(id, &spec, &self.jobs);
             // As it is to be served, from the first on: the lists go by it.
             let as_served = self.jobs.get(id).and_then(|r| r.value.spec.clone());
-            let shaped = as_served.and_then(|s| self.pipelines.shaped(id, &s, &self.jobs));
+            let shaped = as_served.and_then(|s| self.pipelines.effective_spec(id, &s, &self.jobs));
             if let (Some(s), Some(r)) = (shaped, self.jobs.get_mut(id)) {
                 r.value.spec = Some(s);
             }
-            gate
+            readiness
         } else {
-            self.pipelines.leave(id, spec)
+            self.pipelines.remove(id, spec)
         };
-        if gate != Gate::Ready {
+        if readiness != Readiness::Ready {
             return;
         }
         let Some(rec) = self.jobs.get(id) else { return };
