Pipelines at the moments that matter: eight tests on whole controllers

The controller that confirms a cancellation dies; the leader changes before the dependents are tidied; the state service goes out; the last needed job ends in a takeover; a dependent is submitted as its need is cancelled; a cancellation that loses to the end; needs in any state, unknown ones and undecidable ones; readiness in an outage; waiting jobs hold nothing.

--- a/src/sim.rs
+++ b/src/sim.rs
@@ -20,6 +20,7 @@
 mod compound_failures;
 mod faults;
 mod invariants;
+mod pipelines;
 mod scenarios;
 mod state_service;
 mod users;
@@ -89,6 +90,8 @@
     },
     /// A copy came: whoever sent the original has long moved on.
     Nobody,
+    /// A test's own request, by number.
+    Probe(u32),
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -196,7 +199,31 @@
     needs: Vec<String>,
 }
 
-/// Action a run is made of.
+impl Job {
+    /// A job that nobody has submitted yet; its tasks run for `run`.
+    fn new(spec: Value, run: Micros, needs: Vec<String>) -> Self {
+        Job {
+            cpus: spec["cores"].as_f64().unwrap(),
+            tasks: spec["sheaves"].as_u64().unwrap() as u32,
+            spec,
+            run,
+            accepted: false,
+            cancel_told: None,
+            cancel_asked: false,
+            done_told: false,
+            told_at: 0,
+            done: BTreeSet::new(),
+            over: false,
+            answered: 0,
+            accepted_at: 0,
+            starts: 0,
+            first_end: 0,
+            needs,
+        }
+    }
+}
+
+/// What a run is made of.
 struct Plan {
     seed: u64,
     faults: Vec<(Micros, Fault)>,
@@ -205,7 +232,7 @@
     load: Load,
 }
 
-/// Action the users of a day ask for.
+/// What the users of a day ask for.
 #[derive(Clone, Copy, PartialEq)]
 enum Load {
     Mixed,
@@ -240,12 +267,16 @@
     late_writes: Micros,
     slow_store: Micros,
     cancel_at_end: Micros,
-    /// Action happened, for tests to see that their day brought it about.
+    /// What happened, for tests to see that their day brought it about.
     seen: Seen,
     held_answers: Micros,
     load: Load,
     /// Since when a job has waited although a machine has room for it.
     waits: BTreeMap<String, (Micros, u32)>,
+    /// Answers to tests' own requests: status and body.
+    probes: BTreeMap<u32, (u16, Value)>,
+    /// Which controller answered a user's cancellation last.
+    cancelled_by: usize,
     /// Changes a transaction and bytes a value that the state service takes.
     ops_most: usize,
     value_most: usize,
@@ -349,6 +380,8 @@
             held_answers: 0,
             load: plan.load,
             waits: BTreeMap::new(),
+            probes: BTreeMap::new(),
+            cancelled_by: 0,
             ops_most: 12,
             value_most: 4096,
         };
@@ -426,27 +459,7 @@
                 let again = at + SECOND * later.u64(1..200);
                 w.at(again, Event::User(id.clone(), Action::Submit));
             }
-            w.jobs.insert(
-                id,
-                Job {
-                    spec,
-                    cpus,
-                    tasks,
-                    run: run * SECOND,
-                    accepted: false,
-                    cancel_told: None,
-                    cancel_asked: false,
-                    done_told: false,
-                    told_at: 0,
-                    done: BTreeSet::new(),
-                    over: false,
-                    answered: 0,
-                    accepted_at: 0,
-                    starts: 0,
-                    first_end: 0,
-                    needs,
-                },
-            );
+            w.jobs.insert(id, Job::new(spec, run * SECOND, needs));
         }
         for (at, f) in &plan.faults {
             let long = match f {
@@ -620,6 +633,15 @@
                         if worker && self.now < self.held_answers && self.rng.bool() {
                             lag += self.rng.u64(0..6000) * MILLI;
                         }
+                        if matches!(
+                            &requester,
+                            Requester::User {
+                                what: Action::Abort,
+                                ..
+                            }
+                        ) {
+                            self.cancelled_by = i;
+                        }
                         if !cut {
                             self.at(self.now + lag, Event::Answer(requester, r));
                         }
--- a/src/sim/compound_failures.rs
+++ b/src/sim/compound_failures.rs
@@ -4,7 +4,7 @@
 
 use super::*;
 
-/// Action a day must have brought about.
+/// What a day must have brought about.
 type Happened = fn(&Seen) -> bool;
 
 struct CompoundFailure {
--- a/src/sim/workers.rs
+++ b/src/sim/workers.rs
@@ -94,6 +94,9 @@
             } => self.answer_worker(&machine, season, sent, tally, r),
             Requester::User { job, what, sent } => self.answer_user(job, what, sent, r),
             Requester::Nobody => {}
+            Requester::Probe(number) => {
+                self.probes.insert(number, (r.status, read(&r.body)));
+            }
         }
     }
 
