Signals: a pipeline that will miss its deadline is reported once, with its cause

By the estimates of what is left; once more when it is ahead again by the margin. Jobs that wait for a job without a record (a damaged state service) are said once and shown by status. Signals are a type now: their level no longer hangs on their text. The status page keeps its layout, which production reads too.

--- a/src/node.rs
+++ b/src/node.rs
@@ -127,6 +127,8 @@
     unread_next: Micros,
     aims: Aims,
     aims_next: Micros,
+    /// Jobs that waited for others without a record when last looked at.
+    missing_needs: usize,
     now: Micros,
 }
 
@@ -225,6 +227,7 @@
             unread_next: 0,
             aims: Aims::new(&settings.objectives, &settings.operator),
             aims_next: 0,
+            missing_needs: 0,
             now: 0,
             settings,
         }
@@ -1003,6 +1006,7 @@
                 .get(spec.team.as_str())
                 .is_some_and(|l| (spec.submitted, id) <= (l.0, &l.1)),
             started: running.contains(id.as_str()) || replica.progress.contains_key(id),
+            pipeline: replica.pipeline_end(id),
         });
         let done = |id: &str| {
             replica
@@ -1010,18 +1014,32 @@
                 .get(id)
                 .is_some_and(|r| r.value.stage == Stage::Done)
         };
-        let signals = self
-            .aims
-            .look(open, done, self.reactor.wall(), self.cause());
+        let is_open = |id: &str| replica.stage(id) == Some(Stage::Open);
+        let wall = self.reactor.wall();
+        let signals = self.aims.look(open, done, is_open, wall, self.cause());
         if self.leader.is_some() {
             for s in signals {
-                if s.starts_with("aim behind") {
-                    log::warn!("status: {s}");
+                let level = if s.is_warning() {
+                    log::Level::Warn
                 } else {
-                    log::info!("status: {s}");
-                }
+                    log::Level::Info
+                };
+                log::log!(level, "status: {s}");
             }
         }
+        self.look_at_missing_needs();
+    }
+
+    /// Says once when jobs wait for others that have no record, as only a damaged state
+    /// service could bring about. They wait on, and nothing of them starts.
+    fn look_at_missing_needs(&mut self) {
+        let missing = self.registry.replica.waiting_for_unknown();
+        let count = missing.len();
+        if count > self.missing_needs {
+            let first = missing.first().map_or("", |id| id.as_str());
+            log::warn!("status: {count} jobs wait for jobs without a record, {first} first");
+        }
+        self.missing_needs = count;
     }
 
     fn status(&mut self) -> mesh::Status {
@@ -1038,6 +1056,13 @@
         if held > 0 {
             waiting.insert("(jobs that wait for others)".to_owned(), held);
         }
+        let missing = r.waiting_for_unknown().len() as u32;
+        if missing > 0 {
+            waiting.insert(
+                "(jobs that wait for jobs without a record)".to_owned(),
+                missing,
+            );
+        }
         let regions = self.settings.regions().into_iter().map(|name| {
             let rep = self.reports.get(&name).map(|(r, _)| r);
             let rec = r.regions.get(&name).map(|r| &r.value);
--- a/src/registry/pipelines.rs
+++ b/src/registry/pipelines.rs
@@ -11,6 +11,7 @@
 use super::replica::Versioned;
 use crate::fault_injection::{is_left_out, Guard};
 use crate::model::JobSpec;
+use crate::units::Micros;
 
 /// Most jobs to which one change hands priority and deadline on; the rest follows with
 /// the next calls of [`Pipelines::continue_propagation`].
@@ -29,6 +30,17 @@
     CancelledUpstream,
 }
 
+/// The job that ends a pipeline.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PipelineEnd<'a> {
+    /// Name.
+    pub id: &'a str,
+    /// Class.
+    pub class: &'a str,
+    /// Its own deadline, from its submission.
+    pub deadline: Micros,
+}
+
 /// The index over jobs that need others.
 #[derive(Debug, Default)]
 pub struct Pipelines {
--- a/src/registry/pipelines/tests.rs
+++ b/src/registry/pipelines/tests.rs
@@ -116,6 +116,9 @@
     let mut f = Records::default();
     f.open("2", &["1"], json!({}));
     assert_eq!(f.stand(&["1", "2"]), "-w");
+    assert_eq!(f.r.waiting_for_unknown(), ["2"]);
+    f.done("1", 5);
+    assert!(f.r.waiting_for_unknown().is_empty());
 }
 
 /// Rank and deadline flow back, times count from readiness, and none of it is ever
@@ -282,3 +285,29 @@
         assert!(looked <= 16, "step {i}: {looked} lookups");
     }
 }
+
+/// The job whose deadline a step is judged by: the nearest with one of its own, on the way
+/// that presses most; none for a job that is no step of a pipeline.
+#[test]
+fn pipelines_end_with_a_deadline() {
+    let mut f = Records::default();
+    f.open("1", &[], json!({}));
+    f.open("2", &["1"], json!({}));
+    f.open("3", &["2"], json!({"d": 400_000_000}));
+    f.open("4", &["1"], json!({"d": 300_000_000}));
+    f.open("alone", &[], json!({"d": 300_000_000}));
+    f.open("x", &["alone"], json!({}));
+    for (id, end) in [
+        ("1", Some("4")),
+        ("2", Some("3")),
+        ("3", Some("3")),
+        ("4", Some("4")),
+        ("alone", None),
+        ("x", None),
+        ("unknown", None),
+    ] {
+        assert_eq!(f.r.pipeline_end(id).map(|e| e.id), end, "{id}");
+    }
+    f.cancelled("4");
+    assert_eq!(f.r.pipeline_end("1").map(|e| e.id), Some("3"));
+}
--- a/src/registry/replica.rs
+++ b/src/registry/replica.rs
@@ -6,7 +6,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
-use super::pipelines::{Pipelines, Readiness};
+use super::pipelines::{PipelineEnd, Pipelines, Readiness};
 use super::records::{
     read_bitmap, JobRecord, Key, LeaderRecord, LotRecord, MachineRecord, Part, QuotaRecord,
     RegionRecord, RollRecord, Stage,
@@ -252,6 +252,47 @@
         spec.needs.is_empty() || self.pipelines.readiness(spec, &self.jobs) == Readiness::Ready
     }
 
+    /// The job that ends a pipeline of which this one is a step: the nearest with a
+    /// deadline of its own among those that need it, on the way that presses most.
+    pub fn pipeline_end<'a>(&'a self, id: &'a str) -> Option<PipelineEnd<'a>> {
+        const MAX_STEPS: usize = 64;
+        let mut at = id;
+        for _ in 0..MAX_STEPS {
+            let spec = self.jobs.get(at)?.value.open()?;
+            let own = spec.recorded.as_ref().unwrap_or(spec);
+            let in_pipeline = at != id || !own.needs.is_empty();
+            if let (Some(deadline), true) = (own.deadline, in_pipeline) {
+                let class = &own.class;
+                return Some(PipelineEnd {
+                    id: at,
+                    class,
+                    deadline,
+                });
+            }
+            at = self.most_pressing_dependent(at)?;
+        }
+        None
+    }
+
+    fn most_pressing_dependent(&self, id: &str) -> Option<&str> {
+        let due = |id: &str| {
+            let spec = self.jobs.get(id)?.value.open()?;
+            Some(spec.submitted + spec.deadline?)
+        };
+        let dependents = self.pipelines.dependents(id);
+        let pressing = dependents.filter_map(|d| Some((due(d)?, d.as_str())));
+        pressing.min().map(|(_, d)| d)
+    }
+
+    /// Jobs that wait for others of which there is no record.
+    pub fn waiting_for_unknown(&self) -> Vec<&String> {
+        let unknown = |id: &&String| {
+            let spec = self.jobs.get(*id).and_then(|r| r.value.open());
+            spec.is_some_and(|s| s.needs.iter().any(|n| !self.jobs.contains_key(n)))
+        };
+        self.pipelines.waiting().iter().filter(unknown).collect()
+    }
+
     /// A job's record changed: those that need it may be ready, or cancelled along, and
     /// those that it needs are to be served otherwise.
     fn update_dependents(&mut self, id: &str) {
--- a/src/status.rs
+++ b/src/status.rs
@@ -2,12 +2,48 @@
 //! warning when an aim falls behind, one line when it is met again, and the
 //! status page that `salttiller status` asks for.
 
+pub mod pipelines;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::fmt;
 
 use crate::mesh::{AimLine, Status};
 use crate::model::JobSpec;
+use crate::registry::pipelines::PipelineEnd;
 use crate::settings::{Objective, Operator};
 use crate::units::{to_secs, Micros, SECOND};
+use pipelines::{expected_end, PipelineWatch, Step};
+
+/// What operators are told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Signal {
+    /// A class falls behind an aim.
+    AimBehind(String),
+    /// It is met again.
+    AimMetAgain(String),
+    /// A pipeline will miss its deadline.
+    PipelineBehind(String),
+    /// It will be in time after all.
+    PipelineInTime(String),
+}
+
+impl Signal {
+    /// Whether somebody should look at it.
+    pub fn is_warning(&self) -> bool {
+        matches!(self, Signal::AimBehind(_) | Signal::PipelineBehind(_))
+    }
+}
+
+impl fmt::Display for Signal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Signal::AimBehind(what) => write!(f, "aim behind: {what}"),
+            Signal::AimMetAgain(what) => write!(f, "aim met again: {what}"),
+            Signal::PipelineBehind(what) => write!(f, "pipeline behind: {what}"),
+            Signal::PipelineInTime(what) => write!(f, "pipeline in time again: {what}"),
+        }
+    }
+}
 
 /// Counts over a sliding window, kept in slices so that old ones drop off.
 #[derive(Debug, Default)]
@@ -83,6 +119,8 @@
     pub guaranteed: bool,
     /// Some task of it runs or has run.
     pub started: bool,
+    /// The pipeline that it is a step of, if that has a deadline.
+    pub pipeline: Option<PipelineEnd<'a>>,
 }
 
 /// The aims, and what is known of the jobs that count for them.
@@ -93,6 +131,7 @@
     least: u32,
     margin: f64,
     signals: VecDeque<String>,
+    pipelines: PipelineWatch,
 }
 
 const SLICES: u64 = 10;
@@ -121,6 +160,7 @@
             least: op.alert_least,
             margin: op.alert_margin,
             signals: VecDeque::new(),
+            pipelines: PipelineWatch::new(op.alert_margin),
         }
     }
 
@@ -131,10 +171,12 @@
         &mut self,
         open: impl Iterator<Item = Seen<'a>>,
         done: impl Fn(&str) -> bool,
+        is_open: impl Fn(&str) -> bool,
         wall: Micros,
         cause: &str,
-    ) -> Vec<String> {
+    ) -> Vec<Signal> {
         let mut here = BTreeSet::new();
+        let mut steps = Vec::new();
         for s in open {
             here.insert(s.id.to_owned());
             let t = self.jobs.entry(s.id.to_owned()).or_insert_with(|| Track {
@@ -148,6 +190,16 @@
             if s.started {
                 t.started.get_or_insert(wall);
             }
+            if let (Some(end), Some(deadline)) = (s.pipeline, s.spec.deadline) {
+                steps.push(Step {
+                    id: s.id,
+                    last: end.id,
+                    class: end.class,
+                    deadline: end.deadline,
+                    due: s.spec.submitted + deadline,
+                    expected: expected_end(t.started, s.spec.estimate, wall),
+                });
+            }
         }
         let gone: Vec<String> = self
             .jobs
@@ -195,17 +247,18 @@
                 let figures = format!("{:.0}% of {all}, aim {:.0}%", share * 100.0, aim * 100.0);
                 out.push(match next {
                     Standing::Behind => {
-                        format!("aim behind: {}: {figures}, likely cause: {cause}", a.name())
+                        Signal::AimBehind(format!("{}: {figures}, likely cause: {cause}", a.name()))
                     }
-                    Standing::Met => format!("aim met again: {}: {figures}", a.name()),
+                    Standing::Met => Signal::AimMetAgain(format!("{}: {figures}", a.name())),
                 });
             }
         }
+        out.extend(self.pipelines.look(steps.into_iter(), is_open, cause));
         for s in &out {
             if self.signals.len() == SIGNALS_KEPT {
                 self.signals.pop_front();
             }
-            self.signals.push_back(s.clone());
+            self.signals.push_back(s.to_string());
         }
         out
     }
@@ -227,6 +280,11 @@
                 }
             })
             .collect();
+        let behind = self.pipelines.count() as u32;
+        if behind > 0 {
+            let line = "(pipelines that will miss their deadline)".to_owned();
+            status.waiting.push((line, behind));
+        }
         status.signals = self.signals.iter().cloned().collect();
     }
 }
--- a/src/status/tests.rs
+++ b/src/status/tests.rs
@@ -61,8 +61,10 @@
             spec: s,
             guaranteed: false,
             started: *st,
+            pipeline: None,
         });
-        signals.extend(a.look(open, |_| true, now, "no capacity"));
+        let told = a.look(open, |_| true, |_| true, now, "no capacity");
+        signals.extend(told.iter().map(Signal::to_string));
     }
     assert_eq!(signals.len(), 2, "{signals:?}");
     assert!(signals[0].contains("aim behind: x, wait within 10 s: 0% of"));
