--- a/src/fault_injection.rs
+++ b/src/fault_injection.rs
@@ -16,6 +16,40 @@
     DependencyCheck,
     /// A job is cancelled along with one that it needs.
     UpstreamCancellation,
+    /// A silent machine counts as empty only after its lease.
+    LeaseWait,
+    /// An inherited share counts as used until all machines are accounted for.
+    InheritedShares,
+    /// Every change names the revisions that it relies on.
+    RevisionConditions,
+    /// A record of a former run of the same controller isn't ours.
+    RunNumber,
+    /// A job is done only with every task's result.
+    CompleteResults,
+    /// A gang that lacks its team's share keeps others from starting for a while only.
+    ShareHoldLimit,
+    /// Work is stopped only for a job that can take its place.
+    PreemptionFit,
+}
+
+impl Guard {
+    /// All guards.
+    #[cfg(test)]
+    pub const ALL: [Guard; 13] = [
+        Guard::Recovery,
+        Guard::AuthorityDeadline,
+        Guard::ReportOrder,
+        Guard::StartDeadline,
+        Guard::DependencyCheck,
+        Guard::UpstreamCancellation,
+        Guard::LeaseWait,
+        Guard::InheritedShares,
+        Guard::RevisionConditions,
+        Guard::RunNumber,
+        Guard::CompleteResults,
+        Guard::ShareHoldLimit,
+        Guard::PreemptionFit,
+    ];
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/src/leader/binding.rs
@@ -0,0 +1,176 @@
+//! Level one: which region each job is bound to.
+
+use super::*;
+
+impl Leader {
+    /// Puts on record that jobs were cancelled along with those that they need. Everybody
+    /// derives it from the records, so nothing hangs on when this comes: it is for the
+    /// versions before 0.3, should one ever be brought back, and for the index.
+    pub(super) fn write_cancelled_upstream(&mut self, v: &View<'_>) {
+        const AT_ONCE: usize = 4;
+        let ids = v.replica.pipelines.cancelled_upstream().iter();
+        let ids = ids.filter(|id| !self.writing.contains(&Key::Job((*id).clone())));
+        let changes: Vec<_> = ids
+            .take(AT_ONCE)
+            .filter_map(|id| {
+                let r = v.replica.jobs.get(id)?;
+                Some((Key::Job(id.clone()), r.mark, value(&r.value.cancelled())))
+            })
+            .collect();
+        if !changes.is_empty() {
+            self.commit(changes, Urgency::Later, v);
+        }
+    }
+
+    /// Binds every job that is not bound yet.
+    pub fn bind(&mut self, v: &View<'_>) {
+        self.write_cancelled_upstream(v);
+        if v.replica.unbound.is_empty() {
+            return;
+        }
+        let mut unbound: Vec<_> = v
+            .replica
+            .unbound
+            .iter()
+            .filter(|id| !self.writing.contains(&Key::Job((*id).clone())))
+            .filter_map(|id| {
+                let r = v.replica.jobs.get(id)?;
+                Some((r.value.open()?.clone(), id, r))
+            })
+            .collect();
+        if unbound.is_empty() {
+            return;
+        }
+        unbound.sort_by_key(|(s, id, _)| (s.submitted, (*id).clone()));
+        let mut level_one: BTreeMap<String, u32> = v
+            .settings
+            .regions()
+            .into_iter()
+            .map(|r| {
+                let n = v.replica.level_one.get(&r).copied().unwrap_or(0);
+                (r, n)
+            })
+            .collect();
+        let mut changes = Vec::new();
+        for (spec, id, rec) in unbound {
+            self.narrow.note(&spec, v.replica, v.now);
+            let narrow = narrow_type(&spec, v.replica);
+            if narrow.is_none() {
+                let size = spec.cpus as f64 * spec.tasks as f64;
+                let ago = v.wall.saturating_sub(spec.submitted);
+                self.inflow
+                    .add(size * spec.estimate as f64, v.now.saturating_sub(ago));
+                self.job_size += (size - self.job_size) * 0.1;
+            }
+            let bound = match self.joint(&spec, narrow.is_some(), v) {
+                Some((parts, joint)) => {
+                    log::info!("leader: {id}: too large for a region, over several: {parts:?}");
+                    JobRecord {
+                        parts,
+                        joint: Some(joint),
+                        ..rec.value.clone()
+                    }
+                }
+                None => {
+                    let region = self.choose_region(&spec, narrow.as_deref(), &level_one, v);
+                    let Some(region) = region else { continue };
+                    *level_one.entry(region.clone()).or_default() += 1;
+                    log::debug!("leader: {id}: bound to {region}");
+                    JobRecord {
+                        parts: vec![Part(0, spec.tasks, region)],
+                        joint: None,
+                        ..rec.value.clone()
+                    }
+                }
+            };
+            changes.push((Key::Job(id.clone()), rec.mark, value(&bound)));
+        }
+        self.commit(changes, Urgency::Next, v);
+    }
+
+    /// How many tasks of a job a region's machines take, in the zone where they
+    /// take the most if they must be together.
+    pub(super) fn in_region(&self, s: &JobSpec, region: &str, of: impl Fn(&Room) -> u64) -> u64 {
+        let mut by_zone: BTreeMap<&str, u64> = BTreeMap::new();
+        for r in self.rooms.iter().filter(|r| r.region == region) {
+            *by_zone.entry(&r.zone).or_default() += of(r);
+        }
+        if s.one_zone {
+            by_zone.into_values().max().unwrap_or(0)
+        } else if s.spread {
+            let half = s.tasks.div_ceil(2) as u64;
+            by_zone.into_values().map(|n| n.min(half)).sum()
+        } else {
+            by_zone.into_values().sum()
+        }
+    }
+
+    pub(super) fn choose_region(
+        &mut self,
+        s: &JobSpec,
+        narrow: Option<&str>,
+        level_one: &BTreeMap<String, u32>,
+        v: &View<'_>,
+    ) -> Option<String> {
+        let is_narrow = narrow.is_some();
+        let need = if keeps_together(s) { s.tasks as u64 } else { 1 };
+        let mut now = BTreeSet::new();
+        let mut able = BTreeSet::new();
+        for r in level_one.keys() {
+            if self.in_region(s, r, |x| if x.live { x.takes(s, is_narrow) } else { 0 }) >= need {
+                now.insert(r.clone());
+            }
+            let stock = v.replica.stock.get(r).is_some_and(|kinds| {
+                kinds.keys().any(|(f, z, spot)| {
+                    v.replica
+                        .flavors
+                        .get(f)
+                        .is_some_and(|f| s.allows(&f.value, z, *spot))
+                })
+            });
+            let holds = |x: &Room| x.at_most(s, is_narrow);
+            if stock && (need == 1 || self.in_region(s, r, holds) >= need) {
+                able.insert(r.clone());
+            }
+        }
+        if keeps_together(s) {
+            // Where the cloud would bring what it needs.
+            for o in offers(&v.replica.flavors) {
+                let f = v.replica.flavors.get(&o.flavor).map(|f| &f.value);
+                if f.is_some_and(|f| s.allows(f, &o.zone, o.spot))
+                    && !self.refusals.closed(&o, v.now)
+                {
+                    able.insert(self.home_for(&o, v));
+                }
+            }
+        }
+        let owned = |r: &String| v.replica.regions.contains_key(r);
+        let best = |filter: &dyn Fn(&String) -> bool| {
+            level_one
+                .iter()
+                .filter(|(r, _)| filter(r))
+                .min_by_key(|(_, n)| **n)
+                .map(|(r, _)| r.clone())
+        };
+        let region = if keeps_together(s) {
+            best(&|r| owned(r) && now.contains(r))
+                .or_else(|| best(&|r| owned(r) && able.contains(r)))
+        } else {
+            best(&|r| owned(r) && able.contains(r))
+        };
+        let region = region
+            .or_else(|| best(&|r| owned(r)))
+            .or_else(|| best(&|_| true))?;
+        if keeps_together(s) {
+            let mut left = s.tasks as u64;
+            for r in self
+                .rooms
+                .iter_mut()
+                .filter(|r| r.region == region && r.live)
+            {
+                left -= r.take(s, is_narrow, left);
+            }
+        }
+        Some(region)
+    }
+}
--- /dev/null
+++ b/src/leader/joint_gangs.rs
@@ -0,0 +1,150 @@
+//! Gangs over several regions.
+
+use super::*;
+
+impl Leader {
+    /// The parts of a gang that no region can hold, if several together can and
+    /// the cloud has no more: tasks by region, and what they have in common.
+    pub(super) fn joint(
+        &mut self,
+        s: &JobSpec,
+        narrow: bool,
+        v: &View<'_>,
+    ) -> Option<(Vec<Part>, Joint)> {
+        if s.kind != Kind::Gang || s.tasks < 2 || v.now < self.began + 2 * SECOND {
+            return None;
+        }
+        let regions = v.settings.regions();
+        let n = s.tasks as u64;
+        let most = |r: &Room| r.at_most(s, narrow);
+        if regions.iter().any(|r| self.in_region(s, r, most) >= n) {
+            return None;
+        }
+        let for_rent = offers(&v.replica.flavors).into_iter().any(|o| {
+            let f = v.replica.flavors.get(&o.flavor).map(|f| &f.value);
+            f.is_some_and(|f| s.allows(f, &o.zone, o.spot)) && !self.refusals.closed(&o, v.now)
+        });
+        if for_rent {
+            return None;
+        }
+        let mut by_zone: BTreeMap<&str, BTreeMap<&str, u64>> = BTreeMap::new();
+        for r in &self.rooms {
+            let m = most(r);
+            if m > 0 && v.replica.regions.contains_key(&r.region) {
+                let zone = by_zone.entry(&r.zone).or_default();
+                *zone.entry(&r.region).or_default() += m;
+            }
+        }
+        let half = s.tasks.div_ceil(2) as u64;
+        let mut share: BTreeMap<&str, u64> = BTreeMap::new();
+        let mut zone = None;
+        if s.one_zone {
+            let (z, rs) = by_zone
+                .iter()
+                .max_by_key(|(_, rs)| rs.values().sum::<u64>())?;
+            zone = Some((*z).to_owned());
+            share.extend(rs);
+        } else {
+            // Of each zone no more than its half, if it must be spread; the regions
+            // see to that among their own machines.
+            for rs in by_zone.values() {
+                let mut left = if s.spread { half } else { n };
+                for (r, m) in rs {
+                    let take = left.min(*m);
+                    left -= take;
+                    *share.entry(r).or_default() += take;
+                }
+            }
+        }
+        // As few regions as will do.
+        let mut share: Vec<(u64, &str)> = share.into_iter().map(|(r, m)| (m, r)).collect();
+        share.sort_unstable_by(|a, b| b.cmp(a));
+        let mut parts = Vec::new();
+        let mut at = 0u32;
+        for (m, r) in share {
+            let take = (m.min(n - at as u64)) as u32;
+            if take > 0 {
+                parts.push(Part(at, at + take, r.to_owned()));
+                at += take;
+            }
+        }
+        if at < s.tasks || parts.len() > 12 || (s.spread && parts.len() > 1) {
+            // A spread gang over several regions would need one bound per zone over
+            // all of them: it waits for a region that can hold it.
+            return None;
+        }
+        Some((parts, Joint(self.next_attempt(), zone)))
+    }
+
+    /// An attempt that no owner and no other term ever uses.
+    pub(super) fn next_attempt(&mut self) -> u64 {
+        self.counter += 1;
+        (1 << 62) | (self.mark << 20) | (self.counter & 0xf_ffff)
+    }
+
+    /// Gangs over several regions: started once all parts have room, given another
+    /// attempt when one failed, bound anew when a part was given back. All of it
+    /// follows from the records and the regions' last reports, so that a new leader
+    /// goes on where the last one ended.
+    pub(super) fn lead_joint(&mut self, v: &View<'_>, reports: &Reports) {
+        let mut changes = Vec::new();
+        for id in &v.replica.joint {
+            let Some(rec) = v.replica.jobs.get(id) else {
+                continue;
+            };
+            let Some(Joint(attempt, zone)) = &rec.value.joint else {
+                continue;
+            };
+            let parts = &rec.value.parts;
+            let given_up = parts.iter().any(|p| p.2.is_empty());
+            let (mut ready, mut idle, mut stuck) = (true, true, false);
+            for Part(a, b, region) in parts {
+                let Some((r, _)) = reports.get(region) else {
+                    (ready, idle) = (false, false);
+                    continue;
+                };
+                let has_room = r.ready.iter().any(|(j, n)| j == id && n == attempt);
+                let wait = r.waits.iter().find(|w| w.job == *id);
+                let waits = wait.is_some_and(|w| w.waiting == b - a);
+                ready &= has_room;
+                idle &= has_room || waits;
+                stuck |= wait.is_some_and(|w| w.stuck);
+                if waits && (given_up || wait.is_some_and(|w| w.since_us > PART_PATIENCE)) {
+                    self.out.push(Effect::Tell(Message::Move {
+                        job: id.clone(),
+                        from: region.clone(),
+                        to: String::new(),
+                        count: b - a,
+                    }));
+                }
+            }
+            if given_up {
+                continue;
+            }
+            if ready {
+                for Part(_, _, region) in parts {
+                    self.out.push(Effect::Tell(Message::Go {
+                        job: id.clone(),
+                        attempt: *attempt,
+                        region: region.clone(),
+                    }));
+                }
+            } else if idle && stuck {
+                changes.push((id.clone(), rec, zone.clone()));
+            }
+        }
+        let changes = changes
+            .into_iter()
+            .map(|(id, rec, zone)| {
+                let joint = Some(Joint(self.next_attempt(), zone));
+                log::info!("leader: {id}: tried in vain, another attempt");
+                let new = JobRecord {
+                    joint,
+                    ..rec.value.clone()
+                };
+                (Key::Job(id), rec.mark, value(&new))
+            })
+            .collect();
+        self.commit(changes, Urgency::Next, v);
+    }
+}
--- /dev/null
+++ b/src/leader/machines.rs
@@ -0,0 +1,222 @@
+//! Which region rented machines are assigned to, and what the cloud says of them.
+
+use super::*;
+
+impl Leader {
+    /// The region that machines of an offer are dealt to. A type that some jobs
+    /// depend on is kept together by zone as far as the largest gang asks; all
+    /// others go where there is least, near home first, so that a zone that is cut
+    /// off still has an owner inside.
+    pub(super) fn home_for(&self, offer: &Offer, v: &View<'_>) -> String {
+        let regions = v.settings.regions();
+        let flavor = |name: &str| v.replica.flavors.get(name).map(|f| &f.value);
+        let scarce = !offer.spot
+            && (self.narrow.kept_for(&offer.flavor, v.now).is_some()
+                || flavor(&offer.flavor).is_some_and(|f| {
+                    v.replica.flavors.len() > 1
+                        && v.replica.flavors.values().all(|o| {
+                            o.value.name == f.name
+                                || (o.value.cpus < f.cpus
+                                    || o.value.mem < f.mem
+                                    || o.value.gpus < f.gpus)
+                        })
+                }));
+        let mut load: BTreeMap<&str, f64> = regions.iter().map(|r| (r.as_str(), 0.0)).collect();
+        let mut same: BTreeMap<&str, u32> = BTreeMap::new();
+        let mut all = 0;
+        let mut add = |region: &str, kind: (&str, &str, bool), n: u32| {
+            let Some((r, l)) = load.iter_mut().find(|(r, _)| **r == region) else {
+                return;
+            };
+            all += n;
+            if let Some(f) = flavor(kind.0) {
+                let kept = self.narrow.kept_for(kind.0, v.now).filter(|_| !kind.2);
+                let cpus = f.cpus.saturating_sub(kept.map_or(0, |k| k.0));
+                *l += cpus as f64 * n as f64;
+            }
+            if kind.0 == offer.flavor && kind.1 == offer.zone && kind.2 == offer.spot {
+                *same.entry(r).or_default() += n;
+            }
+        };
+        for (region, kinds) in &v.replica.stock {
+            for ((f, z, spot), n) in kinds {
+                add(region, (f, z, *spot), *n);
+            }
+        }
+        for c in self.coming.values().filter(|c| c.recorded.is_none()) {
+            let o = &c.offer;
+            add(&c.region, (&o.flavor, &o.zone, o.spot), c.count as u32);
+        }
+        if scarce {
+            let most = (4 * self.narrow.largest(&offer.flavor))
+                .max(all / regions.len() as u32)
+                .max(8);
+            let together = same
+                .iter()
+                .filter(|(r, n)| **n < most && v.replica.regions.contains_key(**r))
+                .max_by_key(|(_, n)| **n);
+            if let Some((r, _)) = together {
+                return (*r).to_owned();
+            }
+        }
+        let zone_of = |r: &str| {
+            if r == v.settings.name {
+                return v.settings.zone.as_str();
+            }
+            let peer = v.settings.peers.iter().find(|p| p.name == r);
+            peer.map_or("", |p| p.zone.as_str())
+        };
+        let least = |near: bool| {
+            load.iter()
+                .filter(|(r, _)| !near || zone_of(r) == offer.zone)
+                .min_by(|a, b| a.1.total_cmp(b.1))
+                .map(|(r, l)| ((*r).to_owned(), *l))
+        };
+        let mean = load.values().sum::<f64>() / load.len().max(1) as f64;
+        let lot = flavor(&offer.flavor).map_or(0.0, |f| f.cpus as f64) * 10.0;
+        match (least(true), least(false)) {
+            (Some((r, l)), _) if scarce || l <= mean * 1.25 + lot => r,
+            (_, Some((r, _))) => r,
+            _ => v.settings.name.clone(),
+        }
+    }
+
+    /// Gives machines of one offer a record, in lots.
+    pub(super) fn deal(&mut self, offer: &Offer, names: &[String], region: &str, v: &View<'_>) {
+        let mut changes = Vec::new();
+        for (i, chunk) in names.chunks(LOT).enumerate() {
+            self.counter += 1;
+            let id = format!("{}-{}-{}", v.settings.name, self.mark, self.counter);
+            log::info!(
+                "leader: lot {id}: {} {} in {}{} dealt to {region}, from {}",
+                chunk.len(),
+                offer.flavor,
+                offer.zone,
+                if offer.spot { ", spot" } else { "" },
+                chunk[0]
+            );
+            let rec = LotRecord {
+                region: region.to_owned(),
+                flavor: offer.flavor.clone(),
+                zone: offer.zone.clone(),
+                spot: offer.spot,
+                machines: chunk.to_vec(),
+            };
+            self.coming.insert(
+                id.clone(),
+                Coming {
+                    offer: offer.clone(),
+                    region: region.to_owned(),
+                    count: chunk.len(),
+                    names: chunk.to_vec(),
+                    since: v.now + i as Micros,
+                    recorded: None,
+                },
+            );
+            changes.push((Key::Lot(id), 0, value(&rec)));
+        }
+        self.commit(changes, Urgency::Next, v);
+    }
+
+    /// A machine that has no record reports. That alone brings nothing into being:
+    /// it may be a late copy from a machine that is long gone. The cloud's list
+    /// says, and is asked for soon.
+    pub fn stranger(&mut self, v: &View<'_>) {
+        let wait = if v.replica.machines.is_empty() { 1 } else { 4 };
+        self.next_list = self
+            .next_list
+            .min((self.last_list + wait * SECOND).max(v.now));
+    }
+
+    /// Takes what the cloud answered.
+    pub fn on_fleet(&mut self, ev: &FleetEvent, v: &View<'_>) {
+        match ev {
+            FleetEvent::Flavors(list) => {
+                let changes = list
+                    .iter()
+                    .filter_map(|f| {
+                        let known = v.replica.flavors.get(&f.name);
+                        known.is_none_or(|k| differs(k, f)).then(|| {
+                            let mark = known.map_or(0, |k| k.mark);
+                            (Key::Flavor(f.name.clone()), mark, value(f))
+                        })
+                    })
+                    .collect();
+                self.commit(changes, Urgency::Next, v);
+            }
+            FleetEvent::Rented(offer, region, names, asked) => {
+                log::info!(
+                    "leader: rented {} of {asked} {} in {}{} for {region}",
+                    names.len(),
+                    offer.flavor,
+                    offer.zone,
+                    if offer.spot { ", spot" } else { "" }
+                );
+                if (names.len() as u32) < *asked {
+                    self.refusals.refused(offer, v.now);
+                } else {
+                    self.refusals.filled(offer);
+                }
+                self.deal(offer, names, region, v);
+            }
+            FleetEvent::NoCapacity(offer) => {
+                log::info!(
+                    "leader: no capacity for {} in {}{}",
+                    offer.flavor,
+                    offer.zone,
+                    if offer.spot { ", spot" } else { "" }
+                );
+                self.refusals.refused(offer, v.now);
+            }
+            FleetEvent::Listed(list) => self.on_list(list, v),
+            FleetEvent::Down | FleetEvent::Released(_) => {}
+        }
+    }
+
+    /// Machines that nobody knows: there before us, or rented by a request that was
+    /// carried out late. They are dealt like any other and used, or returned when
+    /// idle.
+    pub(super) fn on_list(&mut self, list: &[Listed], v: &View<'_>) {
+        // Records that can't be read may name them.
+        if !v.replica.unreadable.is_empty() {
+            return;
+        }
+        let keep = (4 * v.settings.list_lag).max(120 * SECOND);
+        self.gone.retain(|_, at| v.now < *at + keep);
+        let cold = v.replica.machines.is_empty() && v.replica.rolls.is_empty();
+        let pending: BTreeSet<&String> = self.coming.values().flat_map(|c| &c.names).collect();
+        let mut odd = BTreeMap::new();
+        let mut todo: BTreeMap<Offer, Vec<String>> = BTreeMap::new();
+        for m in list {
+            if m.failed
+                || v.replica.machines.contains_key(&m.name)
+                || pending.contains(&m.name)
+                || self.gone.contains_key(&m.name)
+            {
+                continue;
+            }
+            let since = self.odd.get(&m.name).copied().unwrap_or(v.now);
+            odd.insert(m.name.clone(), since);
+            // The list is late: only what stays odd is odd. When there never was a
+            // record of any machine, there is none that could be gone.
+            let sure = v.now > since + 2 * v.settings.list_lag && m.age > 2 * v.settings.list_lag;
+            if sure || cold {
+                todo.entry(m.offer.clone())
+                    .or_default()
+                    .push(m.name.clone());
+            }
+        }
+        self.odd = odd;
+        for (offer, names) in todo {
+            // Some at a time, so that those of a type that nothing depends on are
+            // spread over the regions.
+            for some in names.chunks(8) {
+                let region = self.home_for(&offer, v);
+                self.deal(&offer, some, &region, v);
+            }
+        }
+        if !self.odd.is_empty() {
+            self.next_list = self.next_list.min(v.now + v.settings.list_lag);
+        }
+    }
+}
--- /dev/null
+++ b/src/node/leadership.rs
@@ -0,0 +1,129 @@
+//! Becoming the leader, ceasing to be it, and carrying out what it plans.
+
+use super::*;
+
+impl<N: Net> Node<N> {
+    pub(super) fn step_down(&mut self, why: &str) {
+        if self.leader.take().is_some() {
+            log::info!("node: leader: no more, {why}");
+            self.fleet.drop_rentals();
+        }
+    }
+
+    pub(super) fn manage_leader(&mut self) {
+        if !self.registry.loaded() {
+            return;
+        }
+        let rec = self.registry.replica.leader.as_ref();
+        let (mark, rec) = match rec {
+            Some(r) => (r.mark, Some(r.value.clone())),
+            None => (0, None),
+        };
+        let ours = rec
+            .as_ref()
+            .is_some_and(|r| r.holder == self.settings.name && self.is_this_run(r.run));
+        if self
+            .leader
+            .as_ref()
+            .is_some_and(|l| !ours || l.mark != mark)
+        {
+            self.step_down("another is on record");
+        }
+        match self.lead_claim {
+            Some(Claim::Committing) => return,
+            Some(Claim::Looking(rev)) if self.registry.replica.revision < rev => return,
+            _ => self.lead_claim = None,
+        }
+        if ours {
+            if self.leader.is_none() && self.now < self.registry.leader_until() {
+                log::info!("node: leader: since revision {mark}");
+                let v = view!(self);
+                self.leader = Some(Leader::new(mark, &v));
+            }
+            return;
+        }
+        let stale_self = rec.as_ref().is_some_and(|r| r.holder == self.settings.name);
+        if (rec.is_some() && !stale_self) || !self.fresh() {
+            self.lead_at = None;
+            if rec.is_some() && self.registry.grant_id(GrantName::Leader).is_some() {
+                self.registry.drop_grant(GrantName::Leader);
+            }
+            return;
+        }
+        let now = self.now;
+        let at = *self
+            .lead_at
+            .get_or_insert_with(|| now + fastrand::u64(20 * MILLI..300 * MILLI));
+        if now < at {
+            return;
+        }
+        self.registry.want_grant(GrantName::Leader);
+        let Some(lease) = self.registry.grant_id(GrantName::Leader) else {
+            return;
+        };
+        let txn = Txn {
+            when: vec![(Key::Leader, mark)],
+            apply: vec![(
+                Key::Leader,
+                Some(value(&LeaderRecord {
+                    holder: self.settings.name.clone(),
+                    run: self.run,
+                })),
+            )],
+            lease: Some((Key::Leader, lease)),
+        };
+        let t = self.registry.commit(txn, Urgency::First, None);
+        self.lead_claim = Some(Claim::Committing);
+        self.tickets.insert(t, Ticket::Lead);
+    }
+
+    pub(super) fn run_leader(&mut self) -> Micros {
+        let mut until = self.now + SECOND;
+        if self.now >= self.registry.leader_until() {
+            return until;
+        }
+        let Some(mut l) = self.leader.take() else {
+            return until;
+        };
+        let v = view!(self);
+        until = until.min(l.tick(&v, &self.reports, &mut self.fleet));
+        let effects = l.take_effects();
+        self.leader = Some(l);
+        for e in effects {
+            match e {
+                leader::Effect::Commit(txn, urgency, keys) => {
+                    let t = self.registry.commit(txn, urgency, None);
+                    self.tickets.insert(t, Ticket::Leader(keys));
+                }
+                leader::Effect::Tell(m) => self.tell_owner(m),
+            }
+        }
+        until
+    }
+
+    pub(super) fn tell_owner(&mut self, m: Message) {
+        let (Message::Move { from, .. }
+        | Message::Close { region: from, .. }
+        | Message::Go { region: from, .. }) = &m
+        else {
+            return;
+        };
+        if self.regions.contains_key(from) {
+            return self.on_message(m);
+        }
+        let owner = self
+            .registry
+            .replica
+            .regions
+            .get(from)
+            .map(|r| r.value.owner.clone());
+        let at = self
+            .settings
+            .peers
+            .iter()
+            .position(|p| Some(&p.name) == owner.as_ref());
+        if let Some(i) = at {
+            self.reactor.send(i, &mesh::encode(&m));
+        }
+    }
+}
--- /dev/null
+++ b/src/node/messages.rs
@@ -0,0 +1,144 @@
+//! Messages between controllers.
+
+use super::*;
+
+impl<N: Net> Node<N> {
+    /// Tells the other controllers how we are: the leader all and often, since it
+    /// plans by it, the others just that we are here, and all of it now and then.
+    pub(super) fn send_state(&mut self) {
+        let regions: Vec<mesh::RegionReport> = if self.authority() {
+            let v = view!(self);
+            self.regions.values().map(|r| r.report(&v)).collect()
+        } else {
+            Vec::new()
+        };
+        for r in &regions {
+            self.reports.insert(r.region.clone(), (r.clone(), self.now));
+        }
+        let now = self.now;
+        self.reports.retain(|_, (_, at)| now < *at + 6 * SECOND);
+        self.short.clear();
+        for (name, (r, _)) in &self.reports {
+            if !self.regions.contains_key(name) {
+                for (team, at) in &r.short {
+                    let e = self.short.entry(team.clone()).or_insert(*at);
+                    *e = (*e).min(*at);
+                }
+            }
+        }
+        self.mesh_count += 1;
+        let all = self.mesh_count.is_multiple_of(ALL_TOLD);
+        let state = |regions: Vec<mesh::RegionReport>| {
+            mesh::encode(&Message::State {
+                from: self.settings.name.clone(),
+                run: self.run,
+                fresh: self.fresh(),
+                regions,
+            })
+        };
+        let leader = self.registry.replica.leader.as_ref();
+        let leader = leader.map(|l| l.value.holder.clone());
+        let brief = state(Vec::new());
+        let full = state(regions);
+        for i in 0..self.settings.peers.len() {
+            let leads = leader.as_deref() == Some(&*self.settings.peers[i].name);
+            self.reactor
+                .send(i, if all || leads { &full } else { &brief });
+        }
+    }
+
+    pub(super) fn on_message(&mut self, m: Message) {
+        match m {
+            Message::State {
+                from,
+                fresh,
+                regions,
+                ..
+            } => {
+                let now = self.now;
+                let Some(p) = self.peers.get_mut(&from) else {
+                    log::info!("node: mesh: state from unknown {from}");
+                    return;
+                };
+                let gap = p.heard.is_none_or(|h| now > h + 3 * SECOND);
+                p.heard = Some(now);
+                p.fresh = fresh;
+                p.stale_since = (!fresh).then(|| p.stale_since.unwrap_or(now));
+                if !fresh || gap {
+                    p.well_since = None;
+                }
+                if fresh {
+                    p.well_since.get_or_insert(now);
+                }
+                // One with other settings may name regions that we don't have.
+                let known = self.settings.regions();
+                for r in regions.into_iter().filter(|r| known.contains(&r.region)) {
+                    let newer = self
+                        .reports
+                        .get(&r.region)
+                        .is_none_or(|(old, _)| r.token >= old.token);
+                    if newer && !self.regions.contains_key(&r.region) {
+                        self.reports.insert(r.region.clone(), (r, now));
+                    }
+                }
+            }
+            Message::Move {
+                job,
+                from,
+                to,
+                count,
+            } => {
+                let known = to.is_empty() || self.settings.regions().contains(&to);
+                if !self.authority() || !known {
+                    return;
+                }
+                let v = view!(self);
+                if let Some(r) = self.regions.get_mut(&from) {
+                    r.give(&job, &to, count, &v);
+                }
+            }
+            Message::AskStatus | Message::Status(_) => {}
+            Message::Cancelled { .. }
+                if is_left_out(Guard::StartDeadline) || is_left_out(Guard::AuthorityDeadline) => {}
+            Message::Cancelled { jobs } => {
+                for id in jobs {
+                    let rec = self.registry.replica.jobs.get(&id);
+                    let shown = rec.is_some_and(|r| r.value.stage != Stage::Open);
+                    if shown
+                        || !is_job_id(&id)
+                        || self.reported_cancelled.len() >= MAX_REPORTED_CANCELLED
+                    {
+                        continue;
+                    }
+                    self.reported_cancelled.insert(id.clone());
+                    let v = view!(self);
+                    for r in self.regions.values_mut() {
+                        r.on_reported_cancelled(&id, &v);
+                    }
+                }
+            }
+            Message::Close {
+                region,
+                flavor,
+                zone,
+                spot,
+                count,
+            } => {
+                let v = view!(self);
+                if let Some(r) = self.regions.get_mut(&region) {
+                    r.close((&flavor, &zone, spot), count, &v);
+                }
+            }
+            Message::Go {
+                job,
+                attempt,
+                region,
+            } => {
+                let v = view!(self);
+                if let Some(r) = self.regions.get_mut(&region) {
+                    r.go(&job, attempt, &v);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/node/regions.rs
@@ -0,0 +1,166 @@
+//! Taking regions, giving them back, and running those that are ours.
+
+use super::*;
+
+impl<N: Net> Node<N> {
+    /// Takes regions that are ours to take, and notes those we have lost.
+    pub(super) fn manage_regions(&mut self) {
+        if !self.registry.loaded() {
+            return;
+        }
+        for name in self.settings.regions() {
+            let rec = self.registry.replica.regions.get(&name);
+            let (mark, rec) = match rec {
+                Some(r) => (r.mark, Some(r.value.clone())),
+                None => (0, None),
+            };
+            let ours = rec
+                .as_ref()
+                .is_some_and(|r| r.owner == self.settings.name && self.is_this_run(r.run));
+            if let Some(r) = self.regions.get(&name) {
+                if !ours || rec.as_ref().is_some_and(|x| x.token != r.token) {
+                    log::info!("node: region {name}: lost, token {}", r.token);
+                    self.regions.remove(&name);
+                }
+            }
+            if rec.is_some() {
+                self.absent.remove(&name);
+            }
+            match self.claims.get(&name) {
+                Some(Claim::Committing) => continue,
+                Some(Claim::Looking(rev)) if self.registry.replica.revision < *rev => continue,
+                _ => {}
+            }
+            if !self.authority() {
+                continue;
+            }
+            if ours && !self.retake.contains(&name) {
+                // Ours on record, and the replica holds all that came before.
+                if !self.regions.contains_key(&name) && self.registry.replica.revision >= mark {
+                    let token = rec.map_or(0, |r| r.token);
+                    log::info!("node: region {name}: taken, token {token}");
+                    let v = view!(self);
+                    let region = Region::new(&name, token, mark, &v);
+                    self.regions.insert(name.clone(), region);
+                    self.claims.remove(&name);
+                }
+                continue;
+            }
+            let home = name == self.settings.name;
+            // Kept by our former life for another: guards against taking it only to
+            // hand it back, and all its machines being accounted for twice. Its home
+            // takes it at once if it is there, any other a moment later.
+            let left = rec
+                .as_ref()
+                .is_some_and(|r| r.owner == self.settings.name && r.run != self.run);
+            if left && !home && !self.retake.contains(&name) {
+                log::info!("node: region {name}: left by our former life, given up");
+                self.give_up(name, mark);
+                continue;
+            }
+            let take = match &rec {
+                // Our own former process is dead, or we want a higher token.
+                Some(r) => r.owner == self.settings.name,
+                None => {
+                    let now = self.now;
+                    let since = *self.absent.entry(name.clone()).or_insert(now);
+                    home || now >= since + HOME_FIRST + fastrand::u64(0..500 * MILLI)
+                }
+            };
+            if !take {
+                continue;
+            }
+            let Some(lease) = self.registry.grant_id(GrantName::Owner) else {
+                continue;
+            };
+            let token = self.registry.replica.token.as_ref().map_or(0, |t| t.value) + 1;
+            let key = Key::Region(name.clone());
+            let txn = Txn {
+                when: vec![
+                    (key.clone(), mark),
+                    (Key::Token, self.registry.replica.mark(&Key::Token)),
+                ],
+                apply: vec![
+                    (Key::Token, Some(value(&token))),
+                    (
+                        key.clone(),
+                        Some(value(&RegionRecord {
+                            owner: self.settings.name.clone(),
+                            run: self.run,
+                            token,
+                        })),
+                    ),
+                ],
+                lease: Some((key, lease)),
+            };
+            log::info!("node: region {name}: taking, token {token}");
+            self.retake.remove(&name);
+            self.regions.remove(&name);
+            let t = self.registry.commit(txn, Urgency::First, None);
+            self.claims.insert(name.clone(), Claim::Committing);
+            self.tickets.insert(t, Ticket::Take { region: name });
+        }
+        self.hand_back();
+    }
+
+    /// Gives a region back to its home once that has been well for a while, so
+    /// that after a cut the load is shared again.
+    pub(super) fn hand_back(&mut self) {
+        if !self.authority() {
+            return;
+        }
+        let now = self.now;
+        let back = self.regions.values().find(|r| {
+            r.tidy(now)
+                && r.name != self.settings.name
+                && self.peers.get(&r.name).is_some_and(|p| {
+                    p.heard.is_some_and(|h| now < h + 2 * SECOND)
+                        && p.well_since.is_some_and(|w| now > w + HAND_BACK)
+                })
+        });
+        let Some(r) = back else { return };
+        let (name, mark) = (r.name.clone(), r.mark);
+        log::info!("node: region {name}: handed back to its home");
+        // From here on nothing is commanded for it, whatever becomes of the commit.
+        self.regions.remove(&name);
+        self.give_up(name, mark);
+    }
+
+    /// Deletes a region's record as it stands, so that its home may take it.
+    pub(super) fn give_up(&mut self, name: String, mark: u64) {
+        self.claims.insert(name.clone(), Claim::Committing);
+        let key = Key::Region(name.clone());
+        let txn = Txn {
+            when: vec![(key.clone(), mark)],
+            apply: vec![(key, None)],
+            lease: None,
+        };
+        let t = self.registry.commit(txn, Urgency::First, None);
+        self.tickets.insert(t, Ticket::Hand { region: name });
+    }
+
+    pub(super) fn run_regions(&mut self) -> Micros {
+        let mut until = self.now + SECOND;
+        if !self.authority() {
+            return until;
+        }
+        let v = view!(self);
+        let mut effects = Vec::new();
+        for (name, r) in self.regions.iter_mut() {
+            until = until.min(r.tick(&v));
+            effects.extend(r.take_effects().into_iter().map(|e| (name.clone(), e)));
+        }
+        for (name, e) in effects {
+            match e {
+                region::Effect::Commit(txn, urgency, purpose) => {
+                    let t = self.registry.commit(txn, urgency, None);
+                    if let Some(r) = self.regions.get_mut(&name) {
+                        r.sent(t, purpose);
+                    }
+                }
+                region::Effect::Release(names) => self.fleet.release(names),
+            }
+        }
+        until
+    }
+}
--- /dev/null
+++ b/src/node/reports.rs
@@ -0,0 +1,74 @@
+//! Reports of workers, and the answers to them.
+
+use super::*;
+
+impl<N: Net> Node<N> {
+    pub(super) fn on_report(&mut self, conn: ConnId, body: &[u8]) {
+        let Some(r) = workers::parse_report(body) else {
+            return self.reactor.respond(conn, Response::new(400, Vec::new()));
+        };
+        if !self.registry.loaded() {
+            return self.refuse(conn, 503, 1);
+        }
+        let me = self.settings.name.clone();
+        let elsewhere = |to: Option<&str>| Response::new(421, workers::elsewhere(to));
+        let Some(rec) = self.registry.replica.machines.get(&r.machine) else {
+            // No record: the leader finds out what it is.
+            let v = view!(self);
+            if let Some(l) = &mut self.leader {
+                l.stranger(&v);
+                return self.reactor.respond(conn, elsewhere(None));
+            }
+            let to = self
+                .registry
+                .replica
+                .leader
+                .as_ref()
+                .map(|l| l.value.holder.clone());
+            let to = to.filter(|h| *h != me);
+            return self.reactor.respond(conn, elsewhere(to.as_deref()));
+        };
+        let region = rec.value.region.clone();
+        if !self.regions.contains_key(&region) {
+            let to = self.registry.replica.regions.get(&region);
+            let to = to.map(|r| r.value.owner.clone()).filter(|o| *o != me);
+            return self.reactor.respond(conn, elsewhere(to.as_deref()));
+        }
+        self.now = self.reactor.clock();
+        if !self.authority() {
+            return self.refuse(conn, 503, 1);
+        }
+        let v = view!(self);
+        let Some(owned) = self.regions.get_mut(&region) else {
+            return;
+        };
+        let token = owned.token;
+        let verdict = owned.on_report(&r, &v);
+        let answer = match verdict {
+            Verdict::Commands(c) => Response::new(200, workers::answer(token, &c)),
+            Verdict::Stale => {
+                log::debug!("node: {}: late or repeated report passed over", r.machine);
+                Response::refusal(503, 1)
+            }
+            Verdict::Outranked => {
+                log::info!(
+                    "node: {}: has seen token {}, ours is {token}",
+                    r.machine,
+                    r.token
+                );
+                self.retake.insert(region);
+                self.registry.want_barrier();
+                Response::refusal(503, 1)
+            }
+            Verdict::Stranger => elsewhere(None),
+        };
+        // The clock is read again as the bytes go out. A pause between here and
+        // the wire does no harm: the worker counts its lease from when it sent
+        // the report, and drops answers after 4 s.
+        self.now = self.reactor.clock();
+        if answer.status == 200 && !self.authority() {
+            return self.refuse(conn, 503, 1);
+        }
+        self.reactor.respond(conn, answer);
+    }
+}
--- /dev/null
+++ b/src/node/status.rs
@@ -0,0 +1,135 @@
+//! What operators are told.
+
+use super::*;
+
+impl<N: Net> Node<N> {
+    /// What is wrong just now, the gravest first.
+    pub(super) fn cause(&self) -> &'static str {
+        let unsettled = |(r, _): &(mesh::RegionReport, Micros)| !r.settled;
+        if self.registry.failing() {
+            "state service down"
+        } else if self.reports.len() < self.settings.size() || self.reports.values().any(unsettled)
+        {
+            "takeover under way"
+        } else if self.fleet.down() {
+            "cloud down"
+        } else if self.leader.as_ref().is_some_and(|l| l.refused(self.now)) {
+            "no capacity"
+        } else if self.regions.values().any(Region::short_of_quota) {
+            "quota"
+        } else {
+            "backlog"
+        }
+    }
+
+    /// Looks at how the aims are met; the leader tells the operators.
+    pub(super) fn look_at_aims(&mut self) {
+        let replica = &self.registry.replica;
+        let last: BTreeMap<&str, (u64, String)> = replica
+            .teams
+            .keys()
+            .filter_map(|t| {
+                let last = quota::last_guaranteed(replica, &self.settings, t)?;
+                Some((t.as_str(), last))
+            })
+            .collect();
+        let running: BTreeSet<&str> = self
+            .reports
+            .values()
+            .flat_map(|(r, _)| r.counts.iter().map(|c| c.job.as_str()))
+            .collect();
+        let replica = &self.registry.replica;
+        let open = replica.open_jobs().map(|(id, _, spec)| signals::Seen {
+            id,
+            spec,
+            guaranteed: last
+                .get(spec.team.as_str())
+                .is_some_and(|l| (spec.submitted, id) <= (l.0, &l.1)),
+            started: running.contains(id.as_str()) || replica.progress.contains_key(id),
+            pipeline: replica.pipeline_end(id),
+        });
+        let done = |id: &str| {
+            replica
+                .jobs
+                .get(id)
+                .is_some_and(|r| r.value.stage == Stage::Done)
+        };
+        let is_open = |id: &str| replica.stage(id) == Some(Stage::Open);
+        let wall = self.reactor.wall();
+        let signals = self.aims.look(open, done, is_open, wall, self.cause());
+        if self.leader.is_some() {
+            for s in signals {
+                let level = if s.is_warning() {
+                    log::Level::Warn
+                } else {
+                    log::Level::Info
+                };
+                log::log!(level, "status: {s}");
+            }
+        }
+        self.look_at_missing_needs();
+    }
+
+    /// Says once when jobs wait for others that have no record, as only a damaged state
+    /// service could bring about. They wait on, and nothing of them starts.
+    pub(super) fn look_at_missing_needs(&mut self) {
+        let missing = self.registry.replica.waiting_for_unknown();
+        let count = missing.len();
+        if count > self.missing_needs {
+            let first = missing.first().map_or("", |id| id.as_str());
+            log::warn!("status: {count} jobs wait for jobs without a record, {first} first");
+        }
+        self.missing_needs = count;
+    }
+
+    pub(super) fn status(&mut self) -> mesh::Status {
+        let r = &self.registry.replica;
+        let mut waiting: BTreeMap<String, u32> = BTreeMap::new();
+        for (rep, _) in self.reports.values() {
+            for w in &rep.waits {
+                if let Some(s) = r.jobs.get(&w.job).and_then(|j| j.value.open()) {
+                    *waiting.entry(s.class.clone()).or_default() += w.waiting;
+                }
+            }
+        }
+        let held = r.pipelines.waiting().len() as u32;
+        if held > 0 {
+            waiting.insert("(jobs that wait for others)".to_owned(), held);
+        }
+        let missing = r.waiting_for_unknown().len() as u32;
+        if missing > 0 {
+            waiting.insert(
+                "(jobs that wait for jobs without a record)".to_owned(),
+                missing,
+            );
+        }
+        let regions = self.settings.regions().into_iter().map(|name| {
+            let rep = self.reports.get(&name).map(|(r, _)| r);
+            let rec = r.regions.get(&name).map(|r| &r.value);
+            mesh::StatusRegion {
+                owner: rec.map(|r| r.owner.clone()),
+                token: rec.map_or(0, |r| r.token),
+                settled: rep.is_some_and(|r| r.settled),
+                machines: r.stock.get(&name).map_or(0, |kinds| kinds.values().sum()),
+                live: rep.map_or(0, |r| {
+                    let live = r.rooms.iter().filter(|l| l.live);
+                    live.map(|l| l.machines).sum()
+                }),
+                waiting: rep.map_or(0, |r| r.waits.iter().map(|w| w.waiting).sum()),
+                region: name,
+            }
+        });
+        let mut page = mesh::Status {
+            name: self.settings.name.clone(),
+            run: self.run,
+            leader: r.leader.as_ref().map(|l| l.value.holder.clone()),
+            authority_us: self.registry.authority_until().saturating_sub(self.now),
+            fresh: self.fresh(),
+            regions: regions.collect(),
+            waiting: waiting.into_iter().collect(),
+            ..Default::default()
+        };
+        self.aims.fill(&mut page, self.reactor.wall());
+        page
+    }
+}
--- a/src/region/machines.rs
+++ b/src/region/machines.rs
@@ -2,6 +2,7 @@
 //! closed, returned, forgotten.
 
 use super::*;
+use crate::fault_injection::{is_left_out, Guard};
 use crate::registry::records::LotRecord;
 
 const SLACK: Micros = SECOND;
@@ -596,7 +597,11 @@
         others: &mut Option<bool>,
         release: &mut Vec<String>,
     ) -> Option<Micros> {
-        let lease = stretch(v.settings.lease);
+        let lease = if is_left_out(Guard::LeaseWait) {
+            v.settings.report
+        } else {
+            stretch(v.settings.lease)
+        };
         let awaited = self.awaited.contains(name);
         let patience = if awaited { unaccounted(v) } else { unheard(v) };
         let m = self.machines.get(name)?;
--- a/src/region/placing.rs
+++ b/src/region/placing.rs
@@ -3,6 +3,7 @@
 
 use super::list::Group;
 use super::*;
+use crate::fault_injection::{is_left_out, Guard};
 
 /// The order of waiting jobs, least first; see [`Region::order_key`].
 pub(super) type OrderKey = (
@@ -131,31 +132,25 @@
     }
 }
 
-/// A gang has been with us for so long when places begin to be kept for it. Until
-/// then smaller ones go ahead, since more of them are in time that way; a minute
-/// leaves three for the places to fill up, of the four in which it must begin.
-const HOLD_AFTER: Micros = 60 * SECOND;
 /// For how long a gang that lacks a share of its team's limit keeps a job of the same team
 /// from starting a task. Half of the 90 s for which no job may wait beside free machines,
 /// since a job may have waited in another region before.
 const SHARE_HOLD_LIMIT: Micros = 45 * SECOND;
 /// What a task that runs in the meantime takes beside its run time.
 const BACKFILL_SLACK: Micros = 10 * SECOND;
-/// A job within its guarantee waits so long for room before others make it.
-const PREEMPT_AFTER: Micros = 6 * SECOND;
 /// Whatever has waited so long since its submission goes by age from then on. Guards
 /// against a class's largest jobs, or a class whose aims are all past, being passed
 /// over under lasting overload: a minute is left of the four in which they must begin.
 const PATIENCE: Micros = 180 * SECOND;
 /// For how many waiting jobs shares are taken ahead of room.
-const AHEAD: usize = 3;
+pub(super) const AHEAD: usize = 3;
 
 /// How long a type is kept clear for jobs that fit nowhere else, after the last
 /// of them was seen.
 const NARROW_MEMORY: Micros = 180 * SECOND;
 
 /// What a job may not use because of a hold.
-fn held_back(
+pub(super) fn held_back(
     hold: Option<&Hold>,
     id: &JobId,
     job: &Job,
@@ -178,7 +173,8 @@
     }
     // Guards against a job that waits without end beside free machines while the gang
     // gathers its team's share from other regions: one task at a time may pass.
-    if h.short && v.now.saturating_sub(job.last_assigned) > SHARE_HOLD_LIMIT {
+    let waited = v.now.saturating_sub(job.last_assigned);
+    if h.short && waited > SHARE_HOLD_LIMIT && !is_left_out(Guard::ShareHoldLimit) {
         return false;
     }
     // Nor for one that work of higher rank goes before again and again.
@@ -367,7 +363,7 @@
 
     /// The best machine for a task of the job: the fitting one that holds the
     /// fewest tasks, in this zone if one is given, in none of the full ones.
-    fn best_machine(
+    pub(super) fn best_machine(
         &self,
         id: &JobId,
         zone: Option<&str>,
@@ -501,7 +497,7 @@
     }
 
     /// How many of a job's tasks there is room for, up to `most`.
-    fn room_for(&self, id: &JobId, zone: Option<&str>, most: u64, v: &View<'_>) -> u64 {
+    pub(super) fn room_for(&self, id: &JobId, zone: Option<&str>, most: u64, v: &View<'_>) -> u64 {
         let Some(job) = self.jobs.get(id) else {
             return 0;
         };
@@ -640,7 +636,7 @@
     }
 
     /// The zones in which a gang could be, or just `None` if it may be anywhere.
-    fn zones_for(&self, job: &Job) -> Vec<Option<Rc<str>>> {
+    pub(super) fn zones_for(&self, job: &Job) -> Vec<Option<Rc<str>>> {
         if let Some(Joint(_, Some(z))) = &job.joint {
             return vec![Some(Rc::from(z.as_str()))];
         }
@@ -650,350 +646,4 @@
         let zones: BTreeSet<Rc<str>> = self.list.groups.keys().map(|k| k.1.clone()).collect();
         zones.into_iter().map(Some).collect()
     }
-
-    fn place_gang(&mut self, id: &JobId, v: &View<'_>) {
-        let Some(job) = self.jobs.get(id) else { return };
-        let spec = job.spec.clone();
-        // Of a gang over several regions, only this region's part is placed here.
-        let n = job.mine.len();
-        let whole = n == spec.tasks || job.joint.is_some();
-        if job.breaking
-            || !job.out.is_empty()
-            || job.waiting.len() != n
-            || !whole
-            || job.stuck()
-            || job.given_up
-        {
-            return;
-        }
-        let need = spec.amount().times(n as u64);
-        let half = spec.tasks.div_ceil(2);
-        let tasks: Vec<u32> = job.waiting.numbers().collect();
-        let (since, joint) = (job.wait_since, job.joint.clone());
-        for zone in self.zones_for(job) {
-            if self.room_for(id, zone.as_deref(), n as u64, v) < n as u64 {
-                continue;
-            }
-            if !need.within(self.headroom(&spec.team, v)) {
-                if let Some(j) = self.jobs.get_mut(id) {
-                    j.short = true;
-                }
-                return;
-            }
-            let attempt = match &joint {
-                Some(j) => j.0,
-                None => self.next_attempt(),
-            };
-            let mut per_zone: BTreeMap<String, u32> = BTreeMap::new();
-            let mut full = BTreeSet::new();
-            let mut placed = 0;
-            for t in &tasks {
-                let Some(name) = self.best_machine(id, zone.as_deref(), &full, v) else {
-                    break;
-                };
-                if spec.spread {
-                    if let Some(m) = self.machines.get(&name) {
-                        let c = per_zone.entry(m.rec.zone.clone()).or_default();
-                        *c += 1;
-                        if *c >= half {
-                            full.insert(m.rec.zone.clone());
-                        }
-                    }
-                }
-                self.shift(id, *t, Place::Assigned, Some((&name, attempt)), v.now);
-                placed += 1;
-            }
-            if placed < tasks.len() {
-                for t in &tasks[..placed] {
-                    self.shift(id, *t, Place::Waiting, None, v.now);
-                }
-                self.dirty_jobs.remove(id);
-                if let Some(j) = self.jobs.get_mut(id) {
-                    j.wait_since = since;
-                }
-                continue;
-            }
-            if self.hold.as_ref().is_some_and(|h| h.job == *id) {
-                self.hold = None;
-                self.dirty_all = true;
-            }
-            if joint.is_some() {
-                log::info!("region: {id}: room held for our part, attempt {attempt}");
-                if let Some(j) = self.jobs.get_mut(id) {
-                    j.held_since = Some(v.now);
-                }
-                self.wake.insert((v.now + v.settings.gang_wait, id.clone()));
-            }
-            return;
-        }
-        self.hold_for(id, v);
-    }
-
-    /// Parts of gangs over several regions for which room is held here.
-    pub(super) fn ready_parts(&self) -> impl Iterator<Item = (&JobId, u64)> {
-        self.jobs.iter().filter_map(|(id, j)| {
-            let joint = j.joint.as_ref()?;
-            j.held_since.map(|_| (id, joint.0))
-        })
-    }
-
-    /// All parts of a gang over several regions have room: start ours.
-    pub fn go(&mut self, id: &str, attempt: u64, v: &View<'_>) {
-        let Some((id, job)) = self.jobs.get_key_value(id) else {
-            return;
-        };
-        let id = id.clone();
-        let held = job.held_since.is_some() && job.joint.as_ref().is_some_and(|j| j.0 == attempt);
-        if !held || job.over {
-            return;
-        }
-        log::info!("region: {id}: all parts have room, attempt {attempt} starts");
-        let out: Vec<(u32, Rc<str>)> = job.out.iter().map(|(n, m)| (*n, m.clone())).collect();
-        if let Some(j) = self.jobs.get_mut(&id) {
-            j.held_since = None;
-            j.tried = attempt;
-        }
-        for (n, name) in out {
-            if let Some(h) = self.held_mut(&id, n, &name) {
-                h.wait_go = false;
-                h.since = v.now;
-            }
-        }
-    }
-
-    /// A gang finds no room: if it is the first in line to wait, the places that
-    /// fall free are kept for it.
-    fn hold_for(&mut self, id: &JobId, v: &View<'_>) {
-        if self.hold.is_some() {
-            return;
-        }
-        let Some(job) = self.jobs.get(id) else { return };
-        // Since its submission: it may have been moved here.
-        let age = v.wall.saturating_sub(job.spec.submitted);
-        if age < HOLD_AFTER {
-            self.wake.insert((v.now + HOLD_AFTER - age, id.clone()));
-            return;
-        }
-        let n = job.mine.len() as u64;
-        let wide = job.narrow_to.is_none();
-        let best = self
-            .zones_for(job)
-            .into_iter()
-            .map(|zone| {
-                let could = self.list.potential(&job.spec, wide, |k| {
-                    job.spec.permits(&k.0, &k.1, k.2) && zone.as_ref().is_none_or(|z| *z == k.1)
-                });
-                let room = self.room_for(id, zone.as_deref(), n, v);
-                (could >= n, room, zone)
-            })
-            .max();
-        let Some((true, room, zone)) = best else {
-            return;
-        };
-        log::info!("region: {id}: places are kept for it, {room} of {n} free");
-        self.hold = Some(Hold {
-            job: id.clone(),
-            rank: job.spec.rank,
-            team: job.spec.team.clone(),
-            short: false,
-            outranked: false,
-            zone,
-            until: 0,
-            looked: 0,
-        });
-        self.watch_hold(v);
-    }
-
-    /// Looks whether places must still be held, and until when they will fill.
-    pub(super) fn watch_hold(&mut self, v: &View<'_>) {
-        let Some(h) = &self.hold else { return };
-        let stays = self
-            .jobs
-            .get(&h.job)
-            .filter(|j| !j.over && j.key.is_some() && !j.stuck() && !j.writing);
-        let Some(job) = stays else {
-            self.hold = None;
-            self.dirty_all = true;
-            return;
-        };
-        if v.now < h.looked + 2 * SECOND {
-            return;
-        }
-        let short = job.short;
-        let rank = job.spec.rank;
-        let next = self.ready.values().take(AHEAD);
-        let outranked = next
-            .filter_map(|id| self.jobs.get(id))
-            .any(|j| j.spec.rank > rank && !j.short);
-        let n = job.mine.len() as u64;
-        // When each machine will have been left by all that is on it now.
-        let mut free_at: Vec<(Micros, u64)> = Vec::new();
-        for (k, g) in &self.list.groups {
-            if !job.spec.permits(&k.0, &k.1, k.2) || h.zone.as_ref().is_some_and(|z| *z != k.1) {
-                continue;
-            }
-            let each = job.spec.count_in(g.cap);
-            for m in g.names().filter_map(|n| self.machines.get(n)) {
-                let ends = m
-                    .tasks
-                    .iter()
-                    .filter(|(_, t)| t.narrow || g.kept.is_none())
-                    .filter_map(|((id, _), t)| {
-                        let est = self.jobs.get(id)?.spec.estimate;
-                        Some(t.ran_at.unwrap_or(v.now) + est)
-                    })
-                    .max();
-                free_at.push((ends.unwrap_or(0).max(v.now), each));
-            }
-        }
-        free_at.sort_unstable();
-        let mut have = 0;
-        let until = free_at.iter().find_map(|(at, each)| {
-            have += each;
-            (have >= n).then_some(*at)
-        });
-        if let Some(h) = &mut self.hold {
-            h.until = until.unwrap_or(0);
-            h.looked = v.now;
-            h.short = short;
-            h.outranked = outranked;
-        }
-        self.dirty_all = true;
-    }
-
-    /// Stops work so that a job within its team's guarantee, or of higher rank,
-    /// finds room: of lower rank, or of other teams beyond their own guarantees.
-    /// Only for the first such job in line, only after it has waited for a while,
-    /// and only as much as it needs; what has run for the shortest time goes first.
-    pub(super) fn preempt(&mut self, v: &View<'_>) {
-        const LOOK: usize = 8;
-        if v.now < self.next_preempt || !self.settled || !v.starts {
-            return;
-        }
-        let ids: Vec<JobId> = self.ready.values().take(LOOK).cloned().collect();
-        for id in ids {
-            let Some(job) = self.jobs.get(&id) else {
-                continue;
-            };
-            let guaranteed = job.key.as_ref().is_some_and(|k| !k.0 .0);
-            let wait = v.now.saturating_sub(job.wait_since);
-            if job.short || job.not_before > v.now || wait < PREEMPT_AFTER || job.writing {
-                continue;
-            }
-            // Guards against room made for a job that its team's share here does not
-            // let start: what was stopped takes the place again, and is stopped again.
-            let least = if job.spec.kind == Kind::Gang {
-                job.mine.len() as u64
-            } else {
-                1
-            };
-            let need = job.spec.amount().times(least);
-            if !need.within(self.headroom(&job.spec.team, v)) {
-                continue;
-            }
-            self.next_preempt = v.now + SECOND;
-            if self.make_room(&id, guaranteed, v) {
-                return;
-            }
-        }
-    }
-
-    /// Whether a task has most of its run before it, or can save: else it is soon
-    /// through by itself, and to stop it would waste more than it gains.
-    fn far_from_done(&self, id: &JobId, h: &Held, v: &View<'_>) -> bool {
-        let ran = h.ran_at.map_or(0, |at| v.now.saturating_sub(at));
-        self.jobs
-            .get(id)
-            .is_some_and(|j| j.spec.checkpoint > 0 || ran < j.spec.estimate / 3)
-    }
-
-    fn make_room(&mut self, id: &JobId, guaranteed: bool, v: &View<'_>) -> bool {
-        const MOST: u64 = 16;
-        let Some(job) = self.jobs.get(id) else {
-            return false;
-        };
-        let spec = job.spec.clone();
-        let gang = spec.kind == Kind::Gang;
-        let wide = job.narrow_to.is_none();
-        let rank = spec.rank;
-        let n = if gang {
-            job.mine.len() as u64
-        } else {
-            (job.waiting.len() as u64).min(MOST)
-        };
-        let may_stop = |other: &JobId, r: &Region| {
-            r.jobs.get(other).is_some_and(|o| {
-                let beyond = r
-                    .guaranteed
-                    .get(&o.spec.team)
-                    .is_none_or(|last| (o.spec.submitted, &**other) > (last.0, last.1.as_str()));
-                !o.over
-                    && o.spec.kind != Kind::Service
-                    // Guards against work within a guarantee that is stopped for higher
-                    // rank beyond one: it goes first, takes its place again, and so on.
-                    && (guaranteed || beyond)
-                    && (o.spec.rank < rank || (guaranteed && beyond && o.spec.team != spec.team))
-            })
-        };
-        for zone in self.zones_for(job) {
-            // Machines on which stopping would make room, the cheapest first.
-            let mut found: Vec<(Micros, u64, Rc<str>, Vec<JobId>)> = Vec::new();
-            let mut have = 0;
-            for (k, g) in &self.list.groups {
-                if !spec.permits(&k.0, &k.1, k.2) || zone.as_ref().is_some_and(|z| *z != k.1) {
-                    continue;
-                }
-                // Guards against work that is stopped again and again for a job that
-                // may not go there, since the places are held for another.
-                let held = held_back(self.hold.as_ref(), id, job, k, g, v);
-                if held || (wide && g.kept.is_some()) {
-                    continue;
-                }
-                for (name, m) in g.names().filter_map(|n| Some((n, self.machines.get(n)?))) {
-                    let now = spec.count_in(m.free());
-                    if m.tasks.values().any(|h| h.stop.is_some()) {
-                        // Room is being made here already.
-                        have += spec.count_in(m.cap).max(now);
-                        continue;
-                    }
-                    have += now;
-                    let mut room = m.free();
-                    let mut cost = 0;
-                    let mut stops = Vec::new();
-                    for ((other, _), h) in &m.tasks {
-                        if may_stop(other, self) && self.far_from_done(other, h, v) {
-                            room = list::sum(room, h.room());
-                            cost += v.now.saturating_sub(h.ran_at.unwrap_or(v.now));
-                            stops.push(other.clone());
-                        }
-                    }
-                    let gain = spec.count_in(room).saturating_sub(now);
-                    if let Some(each) = cost.checked_div(gain) {
-                        found.push((each, gain, name.clone(), stops));
-                    }
-                }
-            }
-            let could: u64 = found.iter().map(|f| f.1).sum();
-            if have >= n || (gang && have + could < n) || could == 0 {
-                continue;
-            }
-            found.sort_by_key(|a| a.0);
-            let mut victims: BTreeMap<JobId, BTreeSet<Rc<str>>> = BTreeMap::new();
-            for (_, gain, name, stops) in found {
-                if have >= n {
-                    break;
-                }
-                have += gain;
-                for other in stops {
-                    victims.entry(other).or_default().insert(name.clone());
-                }
-            }
-            for (other, on) in victims {
-                log::info!("region: {other}: makes room for {id}");
-                self.stop_saving(&other, "makes room", |name, _| on.contains(name));
-            }
-            return true;
-        }
-        false
-    }
 }
--- /dev/null
+++ b/src/region/preemption.rs
@@ -0,0 +1,147 @@
+//! Stopping work for work that goes before it.
+
+use super::placing::held_back;
+use super::*;
+
+/// A job within its guarantee waits so long for room before others make it.
+const PREEMPT_AFTER: Micros = 6 * SECOND;
+
+impl Region {
+    /// Stops work so that a job within its team's guarantee, or of higher rank,
+    /// finds room: of lower rank, or of other teams beyond their own guarantees.
+    /// Only for the first such job in line, only after it has waited for a while,
+    /// and only as much as it needs; what has run for the shortest time goes first.
+    pub(super) fn preempt(&mut self, v: &View<'_>) {
+        const LOOK: usize = 8;
+        if v.now < self.next_preempt || !self.settled || !v.starts {
+            return;
+        }
+        let ids: Vec<JobId> = self.ready.values().take(LOOK).cloned().collect();
+        for id in ids {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            let guaranteed = job.key.as_ref().is_some_and(|k| !k.0 .0);
+            let wait = v.now.saturating_sub(job.wait_since);
+            if job.short || job.not_before > v.now || wait < PREEMPT_AFTER || job.writing {
+                continue;
+            }
+            // Guards against room made for a job that its team's share here does not
+            // let start: what was stopped takes the place again, and is stopped again.
+            let least = if job.spec.kind == Kind::Gang {
+                job.mine.len() as u64
+            } else {
+                1
+            };
+            let need = job.spec.amount().times(least);
+            let fits = need.within(self.headroom(&job.spec.team, v));
+            if !fits && !is_left_out(Guard::PreemptionFit) {
+                continue;
+            }
+            self.next_preempt = v.now + SECOND;
+            if self.make_room(&id, guaranteed, v) {
+                return;
+            }
+        }
+    }
+
+    /// Whether a task has most of its run before it, or can save: else it is soon
+    /// through by itself, and to stop it would waste more than it gains.
+    pub(super) fn far_from_done(&self, id: &JobId, h: &Held, v: &View<'_>) -> bool {
+        let ran = h.ran_at.map_or(0, |at| v.now.saturating_sub(at));
+        self.jobs
+            .get(id)
+            .is_some_and(|j| j.spec.checkpoint > 0 || ran < j.spec.estimate / 3)
+    }
+
+    pub(super) fn make_room(&mut self, id: &JobId, guaranteed: bool, v: &View<'_>) -> bool {
+        const MOST: u64 = 16;
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        let spec = job.spec.clone();
+        let gang = spec.kind == Kind::Gang;
+        let wide = job.narrow_to.is_none();
+        let rank = spec.rank;
+        let n = if gang {
+            job.mine.len() as u64
+        } else {
+            (job.waiting.len() as u64).min(MOST)
+        };
+        let may_stop = |other: &JobId, r: &Region| {
+            r.jobs.get(other).is_some_and(|o| {
+                let beyond = r
+                    .guaranteed
+                    .get(&o.spec.team)
+                    .is_none_or(|last| (o.spec.submitted, &**other) > (last.0, last.1.as_str()));
+                !o.over
+                    && o.spec.kind != Kind::Service
+                    // Guards against work within a guarantee that is stopped for higher
+                    // rank beyond one: it goes first, takes its place again, and so on.
+                    && (guaranteed || beyond || is_left_out(Guard::PreemptionFit))
+                    && (o.spec.rank < rank || (guaranteed && beyond && o.spec.team != spec.team))
+            })
+        };
+        for zone in self.zones_for(job) {
+            // Machines on which stopping would make room, the cheapest first.
+            let mut found: Vec<(Micros, u64, Rc<str>, Vec<JobId>)> = Vec::new();
+            let mut have = 0;
+            for (k, g) in &self.list.groups {
+                if !spec.permits(&k.0, &k.1, k.2) || zone.as_ref().is_some_and(|z| *z != k.1) {
+                    continue;
+                }
+                // Guards against work that is stopped again and again for a job that
+                // may not go there, since the places are held for another.
+                let held = held_back(self.hold.as_ref(), id, job, k, g, v)
+                    && !is_left_out(Guard::PreemptionFit);
+                if held || (wide && g.kept.is_some()) {
+                    continue;
+                }
+                for (name, m) in g.names().filter_map(|n| Some((n, self.machines.get(n)?))) {
+                    let now = spec.count_in(m.free());
+                    if m.tasks.values().any(|h| h.stop.is_some()) {
+                        // Room is being made here already.
+                        have += spec.count_in(m.cap).max(now);
+                        continue;
+                    }
+                    have += now;
+                    let mut room = m.free();
+                    let mut cost = 0;
+                    let mut stops = Vec::new();
+                    for ((other, _), h) in &m.tasks {
+                        if may_stop(other, self) && self.far_from_done(other, h, v) {
+                            room = list::sum(room, h.room());
+                            cost += v.now.saturating_sub(h.ran_at.unwrap_or(v.now));
+                            stops.push(other.clone());
+                        }
+                    }
+                    let gain = spec.count_in(room).saturating_sub(now);
+                    if let Some(each) = cost.checked_div(gain) {
+                        found.push((each, gain, name.clone(), stops));
+                    }
+                }
+            }
+            let could: u64 = found.iter().map(|f| f.1).sum();
+            if have >= n || (gang && have + could < n) || could == 0 {
+                continue;
+            }
+            found.sort_by_key(|a| a.0);
+            let mut victims: BTreeMap<JobId, BTreeSet<Rc<str>>> = BTreeMap::new();
+            for (_, gain, name, stops) in found {
+                if have >= n {
+                    break;
+                }
+                have += gain;
+                for other in stops {
+                    victims.entry(other).or_default().insert(name.clone());
+                }
+            }
+            for (other, on) in victims {
+                log::info!("region: {other}: makes room for {id}");
+                self.stop_saving(&other, "makes room", |name, _| on.contains(name));
+            }
+            return true;
+        }
+        false
+    }
+}
--- a/src/region/records.rs
+++ b/src/region/records.rs
@@ -2,6 +2,7 @@
 //! to another region; and what follows from each commit's end.
 
 use super::*;
+use crate::fault_injection::{is_left_out, Guard};
 
 /// How long the most that a team needed is remembered.
 const PEAK_KEPT: Micros = 15 * SECOND;
@@ -238,7 +239,7 @@
                 if let Some(p) = s.pending {
                     share = share.min(p);
                 }
-                if self.settled {
+                if self.settled || is_left_out(Guard::InheritedShares) {
                     share.minus(s.used)
                 } else {
                     share.minus(s.inherited).minus(s.fresh)
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -13,6 +13,7 @@
 pub mod records;
 pub mod replica;
 
+use crate::fault_injection::{is_left_out, Guard};
 use std::collections::{BTreeMap, VecDeque};
 
 use serde::Deserialize;
@@ -949,8 +950,12 @@
 }
 
 fn txn_value(t: &Txn) -> Value {
-    let when: Vec<Value> = t
-        .when
+    let conditions: &[_] = if is_left_out(Guard::RevisionConditions) {
+        &[]
+    } else {
+        &t.when
+    };
+    let when: Vec<Value> = conditions
         .iter()
         .map(|(k, m)| json!({"k": k.text(), "mark": m}))
         .collect();
