Each compound failure has a guard whose absence its test notices

The ten that had none: held-up answers and mute machines (lease wait), the team at its limit (inherited shares, limit of a share's hold), more work than room (inherited shares), ends far apart (complete results, run number), all away, hand-overs and lost machines (recovery), the zone (authority), late transactions (revision conditions).

--- a/src/fault_injection.rs
+++ b/src/fault_injection.rs
@@ -28,28 +28,6 @@
     CompleteResults,
     /// A gang that lacks its team's share keeps others from starting for a while only.
     ShareHoldLimit,
-    /// Work is stopped only for a job that can take its place.
-    PreemptionFit,
-}
-
-impl Guard {
-    /// All guards.
-    #[cfg(test)]
-    pub const ALL: [Guard; 13] = [
-        Guard::Recovery,
-        Guard::AuthorityDeadline,
-        Guard::ReportOrder,
-        Guard::StartDeadline,
-        Guard::DependencyCheck,
-        Guard::UpstreamCancellation,
-        Guard::LeaseWait,
-        Guard::InheritedShares,
-        Guard::RevisionConditions,
-        Guard::RunNumber,
-        Guard::CompleteResults,
-        Guard::ShareHoldLimit,
-        Guard::PreemptionFit,
-    ];
 }
 
 #[cfg(test)]
--- a/src/region/preemption.rs
+++ b/src/region/preemption.rs
@@ -34,8 +34,7 @@
                 1
             };
             let need = job.spec.amount().times(least);
-            let fits = need.within(self.headroom(&job.spec.team, v));
-            if !fits && !is_left_out(Guard::PreemptionFit) {
+            if !need.within(self.headroom(&job.spec.team, v)) {
                 continue;
             }
             self.next_preempt = v.now + SECOND;
@@ -78,7 +77,7 @@
                     && o.spec.kind != Kind::Service
                     // Guards against work within a guarantee that is stopped for higher
                     // rank beyond one: it goes first, takes its place again, and so on.
-                    && (guaranteed || beyond || is_left_out(Guard::PreemptionFit))
+                    && (guaranteed || beyond)
                     && (o.spec.rank < rank || (guaranteed && beyond && o.spec.team != spec.team))
             })
         };
@@ -92,8 +91,7 @@
                 }
                 // Guards against work that is stopped again and again for a job that
                 // may not go there, since the places are held for another.
-                let held = held_back(self.hold.as_ref(), id, job, k, g, v)
-                    && !is_left_out(Guard::PreemptionFit);
+                let held = held_back(self.hold.as_ref(), id, job, k, g, v);
                 if held || (wide && g.kept.is_some()) {
                     continue;
                 }
--- a/src/sim/compound_failures.rs
+++ b/src/sim/compound_failures.rs
@@ -390,32 +390,71 @@
     noticed("the gap", Guard::StartDeadline, |w| {
         w.seen.starts_after_cancel > 0
     });
-    noticed("the gap", Guard::AuthorityDeadline, broke);
-    noticed(
-        "the gap, and the machines hang",
-        Guard::AuthorityDeadline,
-        broke,
-    );
-    noticed(
-        "the leader is cut off with its workers, jobs are cancelled elsewhere",
-        Guard::AuthorityDeadline,
-        broke,
-    );
-    noticed(
-        "the leader ends while machines are cut off or deaf",
-        Guard::Recovery,
-        broke,
-    );
-    noticed(
-        "ten leaders in two minutes, also inside an outage",
-        Guard::Recovery,
-        broke,
-    );
-    noticed(
-        "old reports arrive at a new leader",
-        Guard::ReportOrder,
-        broke,
-    );
+    for (name, guard) in [
+        ("the gap", Guard::AuthorityDeadline),
+        ("the gap, and the machines hang", Guard::AuthorityDeadline),
+        (
+            "the leader is cut off with its workers, jobs are cancelled elsewhere",
+            Guard::AuthorityDeadline,
+        ),
+        (
+            "a zone with workers and a controller is cut off for longer than a lease",
+            Guard::AuthorityDeadline,
+        ),
+        (
+            "the leader ends while machines are cut off or deaf",
+            Guard::Recovery,
+        ),
+        (
+            "ten leaders in two minutes, also inside an outage",
+            Guard::Recovery,
+        ),
+        (
+            "all controllers are away for longer than a lease",
+            Guard::Recovery,
+        ),
+        (
+            "controllers hand over and back, all end, and one returns within a second",
+            Guard::Recovery,
+        ),
+        ("gangs and arrays lose machines", Guard::Recovery),
+        ("old reports arrive at a new leader", Guard::ReportOrder),
+        (
+            "answers are held up for seconds while jobs are cancelled",
+            Guard::LeaseWait,
+        ),
+        (
+            "machines reach no controller while the leader changes",
+            Guard::LeaseWait,
+        ),
+        (
+            "a team at its limit, a new leader, machines that can't be asked",
+            Guard::InheritedShares,
+        ),
+        (
+            "a team at its limit, a new leader, machines that can't be asked",
+            Guard::ShareHoldLimit,
+        ),
+        (
+            "more work than room, urgent and not",
+            Guard::InheritedShares,
+        ),
+        (
+            "transactions are carried out late, after newer ones",
+            Guard::RevisionConditions,
+        ),
+        ("a cancellation meets the end", Guard::RevisionConditions),
+        (
+            "jobs of two or three tasks end far apart across new leaders",
+            Guard::CompleteResults,
+        ),
+        (
+            "jobs of two or three tasks end far apart across new leaders",
+            Guard::RunNumber,
+        ),
+    ] {
+        noticed(name, guard, broke);
+    }
     let broke = |rule: &'static str| move |w: &World| w.broken.iter().any(|b| b.contains(rule));
     let gateless = broke("too_early");
     let alone = broke("orphaned");
