--- a/src/intake.rs
+++ b/src/intake.rs
@@ -4,7 +4,7 @@
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
 
-use crate::model::{is_job_id, JobSpec, Kind, Rank};
+use crate::model::{is_job_id, JobSpec, Kind, Priority};
 use crate::quota;
 use crate::registry::records::Stage;
 use crate::registry::replica::Replica;
@@ -108,11 +108,11 @@
                 "standing" => Kind::Service,
                 _ => return None,
             },
-            rank: match w.rank.as_str() {
-                "critical" => Rank::Production,
-                "urgent" => Rank::High,
-                "standard" => Rank::Normal,
-                "low" => Rank::Low,
+            priority: match w.rank.as_str() {
+                "critical" => Priority::Production,
+                "urgent" => Priority::High,
+                "standard" => Priority::Normal,
+                "low" => Priority::Low,
                 _ => return None,
             },
             tasks: u32::try_from(w.sheaves)
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -12,7 +12,7 @@
 use crate::mesh::{Message, RegionReport};
 use crate::model::{Flavor, JobSpec, Kind};
 use crate::region::{narrow_type, waiting_spans, NarrowMemory, View};
-use crate::registry::records::{value, JobRecord, Joint, Key, LotRecord, Part, LOT};
+use crate::registry::records::{value, JobRecord, Joint, Key, MachineBatchRecord, Part, MAX_BATCH};
 use crate::registry::replica::Versioned;
 use crate::registry::{Txn, Urgency};
 use crate::units::{to_secs, Micros, MILLI, SECOND};
@@ -284,7 +284,7 @@
     pub fn concluded(&mut self, keys: &[Key], done: bool, now: Micros) {
         for key in keys {
             self.writing.remove(key);
-            if let Key::Lot(l) = key {
+            if let Key::MachineBatch(l) = key {
                 if done {
                     if let Some(c) = self.coming.get_mut(l) {
                         c.recorded = Some(now);
--- a/src/leader/binding.rs
+++ b/src/leader/binding.rs
@@ -140,7 +140,7 @@
                 if f.is_some_and(|f| s.allows(f, &o.zone, o.spot))
                     && !self.refusals.closed(&o, v.now)
                 {
-                    able.insert(self.home_for(&o, v));
+                    able.insert(self.region_for(&o, v));
                 }
             }
         }
--- a/src/leader/machines.rs
+++ b/src/leader/machines.rs
@@ -7,7 +7,7 @@
     /// depend on is kept together by zone as far as the largest gang asks; all
     /// others go where there is least, near home first, so that a zone that is cut
     /// off still has an owner inside.
-    pub(super) fn home_for(&self, offer: &Offer, v: &View<'_>) -> String {
+    pub(super) fn region_for(&self, offer: &Offer, v: &View<'_>) -> String {
         let regions = v.settings.regions();
         let flavor = |name: &str| v.replica.flavors.get(name).map(|f| &f.value);
         let scarce = !offer.spot
@@ -82,9 +82,15 @@
     }
 
     /// Gives machines of one offer a record, in lots.
-    pub(super) fn deal(&mut self, offer: &Offer, names: &[String], region: &str, v: &View<'_>) {
+    pub(super) fn assign_machines(
+        &mut self,
+        offer: &Offer,
+        names: &[String],
+        region: &str,
+        v: &View<'_>,
+    ) {
         let mut changes = Vec::new();
-        for (i, chunk) in names.chunks(LOT).enumerate() {
+        for (i, chunk) in names.chunks(MAX_BATCH).enumerate() {
             self.counter += 1;
             let id = format!("{}-{}-{}", v.settings.name, self.mark, self.counter);
             log::info!(
@@ -95,7 +101,7 @@
                 if offer.spot { ", spot" } else { "" },
                 chunk[0]
             );
-            let rec = LotRecord {
+            let rec = MachineBatchRecord {
                 region: region.to_owned(),
                 flavor: offer.flavor.clone(),
                 zone: offer.zone.clone(),
@@ -113,7 +119,7 @@
                     recorded: None,
                 },
             );
-            changes.push((Key::Lot(id), 0, value(&rec)));
+            changes.push((Key::MachineBatch(id), 0, value(&rec)));
         }
         self.commit(changes, Urgency::Next, v);
     }
@@ -121,7 +127,7 @@
     /// A machine that has no record reports. That alone brings nothing into being:
     /// it may be a late copy from a machine that is long gone. The cloud's list
     /// says, and is asked for soon.
-    pub fn stranger(&mut self, v: &View<'_>) {
+    pub fn on_unknown_machine(&mut self, v: &View<'_>) {
         let wait = if v.replica.machines.is_empty() { 1 } else { 4 };
         self.next_list = self
             .next_list
@@ -157,7 +163,7 @@
                 } else {
                     self.refusals.filled(offer);
                 }
-                self.deal(offer, names, region, v);
+                self.assign_machines(offer, names, region, v);
             }
             FleetEvent::NoCapacity(offer) => {
                 log::info!(
@@ -183,7 +189,7 @@
         }
         let keep = (4 * v.settings.list_lag).max(120 * SECOND);
         self.gone.retain(|_, at| v.now < *at + keep);
-        let cold = v.replica.machines.is_empty() && v.replica.rolls.is_empty();
+        let cold = v.replica.machines.is_empty() && v.replica.opened.is_empty();
         let pending: BTreeSet<&String> = self.coming.values().flat_map(|c| &c.names).collect();
         let mut odd = BTreeMap::new();
         let mut todo: BTreeMap<Offer, Vec<String>> = BTreeMap::new();
@@ -211,8 +217,8 @@
             // Some at a time, so that those of a type that nothing depends on are
             // spread over the regions.
             for some in names.chunks(8) {
-                let region = self.home_for(&offer, v);
-                self.deal(&offer, some, &region, v);
+                let region = self.region_for(&offer, v);
+                self.assign_machines(&offer, some, &region, v);
             }
         }
         if !self.odd.is_empty() {
--- a/src/leader/renting.rs
+++ b/src/leader/renting.rs
@@ -77,7 +77,7 @@
                 };
                 let by_work = ((target - have) / f.cpus.max(1) as f64).ceil().max(1.0) as u64;
                 let by_tasks = tasks.div_ceil(per.max(1));
-                let count = by_work.min(by_tasks).clamp(1, LOT as u64);
+                let count = by_work.min(by_tasks).clamp(1, MAX_BATCH as u64);
                 log::info!(
                     "leader: renting {count} {} in {}{}: {tasks} tasks wait, {:.0} processors, {:.0} wanted",
                     offer.flavor,
@@ -89,7 +89,7 @@
                 have += (f.cpus * count) as f64;
                 tasks = tasks.saturating_sub(per * count);
                 asks -= 1;
-                let region = self.home_for(&offer, v);
+                let region = self.region_for(&offer, v);
                 self.ask(offer, region, count as u32, v, fleet);
             }
         }
@@ -128,7 +128,7 @@
         };
         let offer = |l: &Self, zone: &Option<String>| l.best_offer(s, narrow, zone.as_deref(), v);
         let here = |l: &Self, zone: &Option<String>| {
-            offer(l, zone).filter(|(o, _)| l.home_for(o, v) == w.region)
+            offer(l, zone).filter(|(o, _)| l.region_for(o, v) == w.region)
         };
         let best = places
             .iter()
@@ -151,7 +151,7 @@
         }
         if let Some((o, per)) = here(self, zone) {
             let lacking = need - have;
-            let count = lacking.div_ceil(per.max(1)).clamp(1, LOT as u64) as u32;
+            let count = lacking.div_ceil(per.max(1)).clamp(1, MAX_BATCH as u64) as u32;
             log::info!(
                 "leader: {}: {lacking} of its {need} tasks lack machines",
                 w.id
@@ -167,7 +167,7 @@
         let elsewhere = places
             .iter()
             .filter_map(|z| offer(self, z))
-            .map(|(o, _)| self.home_for(&o, v))
+            .map(|(o, _)| self.region_for(&o, v))
             .find(|r| *r != w.region && owned(r));
         let to = match elsewhere {
             Some(r) => r,
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -62,7 +62,7 @@
     pub waits: Vec<WaitLine>,
     /// Running tasks by job.
     pub counts: Vec<CountLine>,
-    /// Teams whose limit other regions' shares leave too little of, and the turn (rank,
+    /// Teams whose limit other regions' shares leave too little of, and the turn (priority,
     /// then age) of the first job that lacks some.
     pub short: Vec<(String, u64)>,
     /// Parts of gangs over several regions for which room is held, by attempt.
--- a/src/model.rs
+++ b/src/model.rs
@@ -43,7 +43,7 @@
 
 /// Priority; the order is that of importance, least first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum Rank {
+pub enum Priority {
     /// Lowest.
     #[serde(rename = "0")]
     Low,
@@ -80,7 +80,7 @@
     pub kind: Kind,
     /// Priority.
     #[serde(rename = "r")]
-    pub rank: Rank,
+    pub priority: Priority,
     /// Number of tasks.
     #[serde(rename = "n")]
     pub tasks: u32,
@@ -134,7 +134,7 @@
     /// are none, so that such a record is the same as those of versions before 0.3.
     #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
     pub needs: Vec<String>,
-    /// The job as it stands on record, if what is said here differs: rank and deadline
+    /// The job as it stands on record, if what is said here differs: priority and deadline
     /// that it has from jobs that need it, times from its readiness.
     #[serde(skip)]
     pub recorded: Option<Rc<JobSpec>>,
--- a/src/node.rs
+++ b/src/node.rs
@@ -140,7 +140,7 @@
 /// How long a region must have had no owner before a stranger takes it.
 const HOME_FIRST: Micros = 3 * SECOND;
 /// How long a region's home must have been well before it gets its region back.
-const HAND_BACK: Micros = 10 * SECOND;
+const RETURN_AFTER: Micros = 10 * SECOND;
 const MESH_EVERY: Micros = 400 * MILLI;
 /// Every so many times all controllers are told all, not just the leader.
 const ALL_TOLD: u32 = 4;
@@ -536,7 +536,7 @@
                     }
                 }
                 Key::Region(_) | Key::Leader | Key::Token => {}
-                Key::Machine(_) | Key::Lot(_) | Key::Roll(..) => {}
+                Key::Machine(_) | Key::MachineBatch(_) | Key::Opened(..) => {}
             }
         }
         for id in shown {
--- a/src/node/regions.rs
+++ b/src/node/regions.rs
@@ -100,12 +100,12 @@
             self.claims.insert(name.clone(), Claim::Committing);
             self.tickets.insert(t, Ticket::Take { region: name });
         }
-        self.hand_back();
+        self.return_region();
     }
 
     /// Gives a region back to its home once that has been well for a while, so
     /// that after a cut the load is shared again.
-    pub(super) fn hand_back(&mut self) {
+    pub(super) fn return_region(&mut self) {
         if !self.authority() {
             return;
         }
@@ -115,7 +115,7 @@
                 && r.name != self.settings.name
                 && self.peers.get(&r.name).is_some_and(|p| {
                     p.heard.is_some_and(|h| now < h + 2 * SECOND)
-                        && p.well_since.is_some_and(|w| now > w + HAND_BACK)
+                        && p.well_since.is_some_and(|w| now > w + RETURN_AFTER)
                 })
         });
         let Some(r) = back else { return };
--- a/src/node/reports.rs
+++ b/src/node/reports.rs
@@ -16,7 +16,7 @@
             // No record: the leader finds out what it is.
             let v = view!(self);
             if let Some(l) = &mut self.leader {
-                l.stranger(&v);
+                l.on_unknown_machine(&v);
                 return self.reactor.respond(conn, elsewhere(None));
             }
             let to = self
@@ -60,7 +60,7 @@
                 self.registry.want_barrier();
                 Response::refusal(503, 1)
             }
-            Verdict::Stranger => elsewhere(None),
+            Verdict::UnknownMachine => elsewhere(None),
         };
         // The clock is read again as the bytes go out. A pause between here and
         // the wire does no harm: the worker counts its lease from when it sent
--- a/src/region.rs
+++ b/src/region.rs
@@ -1,6 +1,6 @@
 //! The second level: the owner of a region places its tasks on its machines.
 //!
-//! Every task of a job bound here is in one [`Place`]; [`Region::shift`] is the
+//! Every task of a job bound here is in one [`Place`]; [`Region::transition`] is the
 //! only function that changes it. What is known of machines comes from their
 //! reports alone, and a task that may be on a machine stays there until that
 //! machine says otherwise or is provably empty.
@@ -26,8 +26,8 @@
 use crate::model::{Flavor, JobId, JobSpec, Kind, RangeSet};
 use crate::quota;
 use crate::registry::records::{
-    bitmap, read_bitmap, value, JobRecord, Joint, Key, MachineRecord, Part, RollRecord, Stage,
-    CHUNK, ROLL,
+    bitmap, read_bitmap, value, JobRecord, Joint, Key, MachineRecord, OpenedRecord, Part, Stage,
+    CHUNK, MAX_OPENED_BATCHES,
 };
 use crate::registry::replica::Replica;
 use crate::registry::{Outcome, Txn, Urgency};
@@ -261,9 +261,9 @@
 }
 
 /// Whose turn it is among a team's jobs when its limit is short, over all regions; the
-/// least goes first: by rank, then by age.
-fn turn(s: &JobSpec) -> u64 {
-    let behind = crate::model::Rank::Production as u64 - s.rank as u64;
+/// least goes first: by priority, then by age.
+fn scheduling_order(s: &JobSpec) -> u64 {
+    let behind = crate::model::Priority::Production as u64 - s.priority as u64;
     (behind << 56) | (s.submitted & ((1 << 56) - 1))
 }
 
@@ -303,7 +303,7 @@
     /// The machine has seen a higher token than ours.
     Outranked,
     /// Not one of ours.
-    Stranger,
+    UnknownMachine,
 }
 
 #[derive(Debug, Default)]
@@ -478,9 +478,9 @@
         for id in ids {
             r.on_progress(&id, v);
         }
-        r.try_settle(v);
+        r.try_finish_recovery(v);
         if is_left_out(Guard::Recovery) && !r.settled {
-            r.settle(v);
+            r.finish_recovery(v);
         }
         r
     }
@@ -505,7 +505,7 @@
 
     /// The only way in which a task changes its place. `at` names machine and
     /// attempt for places on a machine.
-    fn shift(&mut self, id: &JobId, n: u32, to: Place, at: Option<(&str, u64)>, now: Micros) {
+    fn transition(&mut self, id: &JobId, n: u32, to: Place, at: Option<(&str, u64)>, now: Micros) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -556,7 +556,7 @@
                     .filter(|m| m.tasks.is_empty() || (h.narrow && !m.serves(true)));
                 if let Some(m) = idle {
                     let wait = if m.closed.is_some() { 0 } else { m.boot };
-                    self.look_at(at, now + wait);
+                    self.revisit_at(at, now + wait);
                 }
             }
         }
@@ -649,7 +649,7 @@
                 }
             }
             if !self.settled {
-                self.try_settle(v);
+                self.try_finish_recovery(v);
             }
         }
         self.place(v);
--- a/src/region/gangs.rs
+++ b/src/region/gangs.rs
@@ -58,12 +58,12 @@
                         }
                     }
                 }
-                self.shift(id, *t, Place::Assigned, Some((&name, attempt)), v.now);
+                self.transition(id, *t, Place::Assigned, Some((&name, attempt)), v.now);
                 placed += 1;
             }
             if placed < tasks.len() {
                 for t in &tasks[..placed] {
-                    self.shift(id, *t, Place::Waiting, None, v.now);
+                    self.transition(id, *t, Place::Waiting, None, v.now);
                 }
                 self.dirty_jobs.remove(id);
                 if let Some(j) = self.jobs.get_mut(id) {
@@ -151,7 +151,7 @@
         log::info!("region: {id}: places are kept for it, {room} of {n} free");
         self.hold = Some(Hold {
             job: id.clone(),
-            rank: job.spec.rank,
+            priority: job.spec.priority,
             team: job.spec.team.clone(),
             short: false,
             outranked: false,
@@ -178,11 +178,11 @@
             return;
         }
         let short = job.short;
-        let rank = job.spec.rank;
+        let priority = job.spec.priority;
         let next = self.ready.values().take(AHEAD);
         let outranked = next
             .filter_map(|id| self.jobs.get(id))
-            .any(|j| j.spec.rank > rank && !j.short);
+            .any(|j| j.spec.priority > priority && !j.short);
         let n = job.mine.len() as u64;
         // When each machine will have been left by all that is on it now.
         let mut free_at: Vec<(Micros, u64)> = Vec::new();
--- a/src/region/jobs.rs
+++ b/src/region/jobs.rs
@@ -119,7 +119,7 @@
         for (n, m) in out {
             match self.held_mut(id, n, &m) {
                 Some(h) if h.place != Place::Assigned => h.stop = Some(0),
-                _ => self.shift(id, n, Place::Done, None, v.now),
+                _ => self.transition(id, n, Place::Done, None, v.now),
             }
         }
         self.unwritten.remove(id);
@@ -130,7 +130,7 @@
     /// A task on a machine is there no more and isn't done.
     pub(super) fn lost(&mut self, id: &JobId, n: u32, why: &str, v: &View<'_>) {
         log::debug!("region: {id}/{n}: back to waiting, {why}");
-        self.shift(id, n, Place::Waiting, None, v.now);
+        self.transition(id, n, Place::Waiting, None, v.now);
         self.rekey(id, v);
         let Some(job) = self.jobs.get_mut(id) else {
             return;
@@ -170,7 +170,7 @@
         for (n, m) in out {
             match self.held_mut(id, n, &m) {
                 Some(h) if h.place == Place::Assigned => {
-                    self.shift(id, n, Place::Waiting, None, v.now)
+                    self.transition(id, n, Place::Waiting, None, v.now)
                 }
                 // One that is told to save already may finish that.
                 Some(h) => {
--- a/src/region/list.rs
+++ b/src/region/list.rs
@@ -198,15 +198,15 @@
         }
     }
 
-    /// The fitting machine with the lowest rank: the groups are those that
-    /// `allowed` names, and `rank` orders their machines (`None`: does not fit).
+    /// The fitting machine with the lowest priority: the groups are those that
+    /// `allowed` names, and `priority` orders their machines (`None`: does not fit).
     /// Of each step only the machines with the fewest tasks are looked at.
     pub fn best<K: Ord>(
         &self,
         s: &JobSpec,
         wide: bool,
         allowed: impl Fn(&GroupKey) -> bool,
-        rank: impl Fn(&GroupKey, u32, &Rc<str>) -> Option<K>,
+        priority: impl Fn(&GroupKey, u32, &Rc<str>) -> Option<K>,
     ) -> Option<Rc<str>> {
         const LOOK: usize = 6;
         let mut best: Option<(K, &Rc<str>)> = None;
@@ -221,7 +221,7 @@
                 }
                 let mut seen = 0;
                 for (held, name) in set {
-                    let Some(k) = rank(key, *held, name) else {
+                    let Some(k) = priority(key, *held, name) else {
                         continue;
                     };
                     if best.as_ref().is_none_or(|(b, _)| k < *b) {
--- a/src/region/machines.rs
+++ b/src/region/machines.rs
@@ -3,7 +3,7 @@
 
 use super::*;
 use crate::fault_injection::{is_left_out, Guard};
-use crate::registry::records::LotRecord;
+use crate::registry::records::MachineBatchRecord;
 
 const SLACK: Micros = SECOND;
 const SURPLUS: &str = "surplus";
@@ -100,7 +100,7 @@
             self.heard.insert((m.heard_at, key.clone()));
         }
         self.machines.insert(key, m);
-        self.look_at(name, v.now + 2 * SECOND);
+        self.revisit_at(name, v.now + 2 * SECOND);
         self.relist(name);
     }
 
@@ -151,7 +151,7 @@
             self.surplus.remove(&key);
             self.awaited.remove(&key);
         }
-        self.try_settle(v);
+        self.try_finish_recovery(v);
     }
 
     /// Brings the level-two list up to date with what is known of a machine.
@@ -225,7 +225,7 @@
     /// lease, so after a few there are none, and its lease runs out for sure.
     pub(super) fn greet(&mut self, name: &Rc<str>, v: &View<'_>) -> Verdict {
         let Some(m) = self.machines.get_mut(name) else {
-            return Verdict::Stranger;
+            return Verdict::UnknownMachine;
         };
         if m.greeted >= GREETINGS || m.closed.is_some() {
             return Verdict::Stale;
@@ -319,7 +319,7 @@
             for (id, n) in meant {
                 self.lost(&id, n, "its machine is deaf", v);
             }
-            self.look_at(name, v.now);
+            self.revisit_at(name, v.now);
         } else if matches!(was, Ear::Deaf { .. }) {
             log::info!("region: {name}: hears us again");
             self.dirty_machines.insert(name.clone());
@@ -327,7 +327,7 @@
     }
 
     /// Has a machine looked at at this time, if not before.
-    pub(super) fn look_at(&mut self, name: &str, at: Micros) {
+    pub(super) fn revisit_at(&mut self, name: &str, at: Micros) {
         let Some((key, _)) = self.machines.get_key_value(name) else {
             return;
         };
@@ -378,11 +378,11 @@
     }
 
     fn write_roll(&mut self, v: &View<'_>) {
-        let mut rolls: BTreeMap<u32, RollRecord> = BTreeMap::new();
+        let mut rolls: BTreeMap<u32, OpenedRecord> = BTreeMap::new();
         let mine = (self.name.clone(), 0)..=(self.name.clone(), u32::MAX);
-        let mut on_record: BTreeMap<u32, RollRecord> = v
+        let mut on_record: BTreeMap<u32, OpenedRecord> = v
             .replica
-            .rolls
+            .opened
             .range(mine)
             .map(|((_, n), r)| (*n, r.value.clone()))
             .collect();
@@ -409,7 +409,11 @@
             let found = on_record
                 .iter()
                 .find(|(_, r)| r.0.contains_key(&**lot))
-                .or_else(|| on_record.iter().find(|(_, r)| r.0.len() < ROLL))
+                .or_else(|| {
+                    on_record
+                        .iter()
+                        .find(|(_, r)| r.0.len() < MAX_OPENED_BATCHES)
+                })
                 .map(|(n, _)| *n);
             let n = found.unwrap_or_else(|| on_record.keys().next_back().map_or(0, |n| n + 1));
             if !rolls.contains_key(&n) && apply.len() + rolls.len() >= most {
@@ -418,7 +422,7 @@
             let roll = on_record.entry(n).or_default();
             if !rolls.contains_key(&n) {
                 // Lots that are gone leave their places.
-                roll.0.retain(|l, _| v.replica.lots.contains_key(l));
+                roll.0.retain(|l, _| v.replica.batches.contains_key(l));
             }
             let mut set = RangeSet::default();
             if let Some(bits) = roll.0.get(&**lot) {
@@ -430,7 +434,7 @@
             names.push(name.clone());
         }
         for (n, roll) in rolls {
-            let key = Key::Roll(self.name.clone(), n);
+            let key = Key::Opened(self.name.clone(), n);
             when.push((key.clone(), v.replica.mark(&key)));
             apply.push((key, Some(value(&roll))));
         }
@@ -448,7 +452,7 @@
     }
 
     fn write_gone(&mut self, v: &View<'_>) {
-        let mut lots: BTreeMap<Rc<str>, LotRecord> = BTreeMap::new();
+        let mut lots: BTreeMap<Rc<str>, MachineBatchRecord> = BTreeMap::new();
         let mut when = self.when();
         let mut apply = Vec::new();
         let mut names = Vec::new();
@@ -466,7 +470,7 @@
                 }
                 Some((lot, place)) => {
                     if !lots.contains_key(lot) {
-                        let known = v.replica.lots.get(&**lot);
+                        let known = v.replica.batches.get(&**lot);
                         if let (Some(l), true) = (known, apply.len() + lots.len() < most) {
                             lots.insert(lot.clone(), l.value.clone());
                         }
@@ -480,7 +484,7 @@
             }
         }
         for (lot, rec) in lots {
-            let key = Key::Lot(lot.to_string());
+            let key = Key::MachineBatch(lot.to_string());
             when.push((key.clone(), v.replica.mark(&key)));
             let empty = rec.machines.iter().all(String::is_empty);
             apply.push((key, (!empty).then(|| value(&rec))));
@@ -571,7 +575,7 @@
             let next = self.watch(&name, v, &mut others, &mut release);
             self.relist(&name);
             if let Some(next) = next {
-                self.look_at(&name, next.max(v.now + SECOND / 2));
+                self.revisit_at(&name, next.max(v.now + SECOND / 2));
             }
         }
         if !release.is_empty() {
@@ -620,7 +624,7 @@
             if v.now > silent {
                 log::info!("region: {name}: silent past its lease");
                 self.clear_machine(name, v);
-                self.try_settle(v);
+                self.try_finish_recovery(v);
             } else if m.notice.is_some_and(|n| v.now > n + SECOND)
                 && v.now > m.heard_at + v.settings.report * 3 / 2
             {
@@ -789,7 +793,7 @@
                 m.closed = Some(SURPLUS);
                 self.surplus.insert(name.clone());
                 self.relist(&name);
-                self.look_at(&name, v.now);
+                self.revisit_at(&name, v.now);
             }
         }
     }
@@ -815,6 +819,6 @@
                 m.releasing = false;
             }
         }
-        self.try_settle(v);
+        self.try_finish_recovery(v);
     }
 }
--- a/src/region/placing.rs
+++ b/src/region/placing.rs
@@ -7,7 +7,7 @@
 
 /// The order of waiting jobs, least first; see [`Region::order_key`].
 pub(super) type OrderKey = (
-    (bool, std::cmp::Reverse<crate::model::Rank>, usize),
+    (bool, std::cmp::Reverse<crate::model::Priority>, usize),
     (bool, bool, u64),
     u64,
     JobId,
@@ -18,11 +18,11 @@
 #[derive(Debug)]
 pub(super) struct Hold {
     pub job: JobId,
-    pub rank: crate::model::Rank,
+    pub priority: crate::model::Priority,
     pub team: String,
     /// It has room, but its team's share here is too small.
     pub short: bool,
-    /// Work of higher rank waits: what falls free goes to that first.
+    /// Work of higher priority waits: what falls free goes to that first.
     pub outranked: bool,
     /// Only machines of this zone are held, if the gang must be in one.
     pub zone: Option<Rc<str>>,
@@ -158,9 +158,9 @@
     g: &Group,
     v: &View<'_>,
 ) -> bool {
-    // Guards against work of higher rank that waits behind a hold while all that it
+    // Guards against work of higher priority that waits behind a hold while all that it
     // has stopped for its sake is started again.
-    let Some(h) = hold.filter(|h| h.job != *id && h.rank >= job.spec.rank) else {
+    let Some(h) = hold.filter(|h| h.job != *id && h.priority >= job.spec.priority) else {
         return false;
     };
     if h.zone.as_ref().is_some_and(|z| **z != *key.1) {
@@ -177,7 +177,7 @@
     if h.short && waited > SHARE_HOLD_LIMIT && !is_left_out(Guard::ShareHoldLimit) {
         return false;
     }
-    // Nor for one that work of higher rank goes before again and again.
+    // Nor for one that work of higher priority goes before again and again.
     if h.outranked {
         return false;
     }
@@ -191,7 +191,7 @@
 
 impl Region {
     /// The order in which waiting jobs are served: those within their team's
-    /// guarantee, then rank, then the operators' precedence. Among equals, gangs go
+    /// guarantee, then priority, then the operators' precedence. Among equals, gangs go
     /// by their age, so that a large one is never passed over for ever; of the
     /// others, those that can still meet an aim of their class go before those that
     /// can't, the pressing ones first, then the short ones: that way the most are in
@@ -213,7 +213,7 @@
             .guaranteed
             .get(&s.team)
             .is_some_and(|last| (s.submitted, &**id) <= (last.0, last.1.as_str()));
-        let first = (!guaranteed, std::cmp::Reverse(s.rank), precedence);
+        let first = (!guaranteed, std::cmp::Reverse(s.priority), precedence);
         // One task needs no others' places: it goes by its aims like the rest.
         let together = s.kind == Kind::Gang && s.tasks > 1;
         let aged = s.submitted + PATIENCE;
@@ -454,7 +454,7 @@
             }
             let attempt = h.attempt;
             log::debug!("region: {id}/{n}: meant for {other}, drawn by {name}");
-            self.shift(&id, n, Place::Assigned, Some((name, attempt)), v.now);
+            self.transition(&id, n, Place::Assigned, Some((name, attempt)), v.now);
         }
     }
 
@@ -578,7 +578,7 @@
                 };
                 s.want = s.want.plus(each.times(now));
                 s.ahead = s.ahead.plus(each.times(n - now));
-                let turn = turn(&spec);
+                let turn = scheduling_order(&spec);
                 s.turn = Some(s.turn.map_or(turn, |t| t.min(turn)));
             }
         }
@@ -626,7 +626,7 @@
                 return;
             }
             let attempt = self.next_attempt();
-            self.shift(id, n, Place::Assigned, Some((&name, attempt)), v.now);
+            self.transition(id, n, Place::Assigned, Some((&name, attempt)), v.now);
         }
     }
 
--- a/src/region/preemption.rs
+++ b/src/region/preemption.rs
@@ -7,8 +7,8 @@
 const PREEMPT_AFTER: Micros = 6 * SECOND;
 
 impl Region {
-    /// Stops work so that a job within its team's guarantee, or of higher rank,
-    /// finds room: of lower rank, or of other teams beyond their own guarantees.
+    /// Stops work so that a job within its team's guarantee, or of higher priority,
+    /// finds room: of lower priority, or of other teams beyond their own guarantees.
     /// Only for the first such job in line, only after it has waited for a while,
     /// and only as much as it needs; what has run for the shortest time goes first.
     pub(super) fn preempt(&mut self, v: &View<'_>) {
@@ -61,7 +61,7 @@
         let spec = job.spec.clone();
         let gang = spec.kind == Kind::Gang;
         let wide = job.narrow_to.is_none();
-        let rank = spec.rank;
+        let priority = spec.priority;
         let n = if gang {
             job.mine.len() as u64
         } else {
@@ -76,9 +76,9 @@
                 !o.over
                     && o.spec.kind != Kind::Service
                     // Guards against work within a guarantee that is stopped for higher
-                    // rank beyond one: it goes first, takes its place again, and so on.
+                    // priority beyond one: it goes first, takes its place again, and so on.
                     && (guaranteed || beyond)
-                    && (o.spec.rank < rank || (guaranteed && beyond && o.spec.team != spec.team))
+                    && (o.spec.priority < priority || (guaranteed && beyond && o.spec.team != spec.team))
             })
         };
         for zone in self.zones_for(job) {
--- a/src/region/records.rs
+++ b/src/region/records.rs
@@ -271,9 +271,9 @@
                 s.inherited.plus(s.fresh)
             };
             // Guards against two regions that each hold a part of what their gangs
-            // need, and neither enough: the job of higher rank, then the older one goes
+            // need, and neither enough: the job of higher priority, then the older one goes
             // first, and the others take nothing and give back what they don't use.
-            // By age alone a gang of high rank waited for ever while another region's
+            // By age alone a gang of high priority waited for ever while another region's
             // older, lesser jobs followed each other.
             let yields = v
                 .short
--- a/src/region/recovery.rs
+++ b/src/region/recovery.rs
@@ -5,7 +5,7 @@
 impl Region {
     /// Ends the accounting once every machine that a former owner may have used
     /// is heard from or provably empty.
-    pub(super) fn try_settle(&mut self, v: &View<'_>) {
+    pub(super) fn try_finish_recovery(&mut self, v: &View<'_>) {
         if self.settled {
             return;
         }
@@ -24,10 +24,10 @@
         {
             return;
         }
-        self.settle(v);
+        self.finish_recovery(v);
     }
 
-    pub(super) fn settle(&mut self, v: &View<'_>) {
+    pub(super) fn finish_recovery(&mut self, v: &View<'_>) {
         self.settled = true;
         self.dirty_all = true;
         log::info!(
--- a/src/region/reports.rs
+++ b/src/region/reports.rs
@@ -7,7 +7,7 @@
     /// authority and checks it again when the answer is written.
     pub fn on_report(&mut self, r: &Report, v: &View<'_>) -> Verdict {
         let Some((name, m)) = self.machines.get_key_value(&*r.machine) else {
-            return Verdict::Stranger;
+            return Verdict::UnknownMachine;
         };
         let name = name.clone();
         // Guards against reports that were held back, and copies: they are as
@@ -23,7 +23,7 @@
         }
         // A report that a machine sent before the cloud took it back.
         if m.gone {
-            return Verdict::Stranger;
+            return Verdict::UnknownMachine;
         }
         if r.token > self.token {
             return Verdict::Outranked;
@@ -58,7 +58,7 @@
         self.judge_hearing(&name, rose, heeded, v);
         self.relist(&name);
         if !self.settled {
-            self.try_settle(v);
+            self.try_finish_recovery(v);
         }
         self.place(v);
         self.draw(&name, v);
@@ -158,7 +158,7 @@
             }
         }
         log::debug!("region: {}/{}: found on {machine}", t.job, t.task);
-        self.shift(
+        self.transition(
             &t.job,
             t.task,
             Place::On(t.stage),
@@ -183,7 +183,7 @@
         if end == End::Done && !service {
             if job.over || job.done.contains(t.task) || !job.mine.contains(t.task) {
                 if ours {
-                    self.shift(&t.job, t.task, Place::Done, None, v.now);
+                    self.transition(&t.job, t.task, Place::Done, None, v.now);
                     self.after_out(&t.job);
                 }
                 return;
@@ -225,7 +225,7 @@
                     }
                     continue;
                 }
-                self.shift(&t.job, n, Place::Done, None, v.now);
+                self.transition(&t.job, n, Place::Done, None, v.now);
             }
             if let Some(m) = self.machines.get_mut(machine) {
                 m.errors = 0;
@@ -308,7 +308,7 @@
             }
         }
         for (id, n) in withdrawn {
-            self.shift(&id, n, Place::Waiting, None, v.now);
+            self.transition(&id, n, Place::Waiting, None, v.now);
             self.rekey(&id, v);
         }
     }
--- a/src/region/tests.rs
+++ b/src/region/tests.rs
@@ -39,8 +39,8 @@
         let v = json!({"region":"t-0","flavor":"box","zone":"a","spot":false,"opened":true});
         self.put(&format!("st/machine/{name}"), v);
     }
-    fn job(&mut self, id: &str, team: &str, class: &str, rank: &str, tasks: u32, at: u64) {
-        let v = json!({"st":"o","b":[[0,tasks,"t-0"]],"j":{"c":class,"t":team,"k":"a","r":rank,"n":tasks,
+    fn job(&mut self, id: &str, team: &str, class: &str, priority: &str, tasks: u32, at: u64) {
+        let v = json!({"st":"o","b":[[0,tasks,"t-0"]],"j":{"c":class,"t":team,"k":"a","r":priority,"n":tasks,
             "u":2_000_000,"m":1_000_000,"i":"img","e":5_000_000,"a":at}});
         self.put(&format!("st/job/{id}"), v);
     }
@@ -119,7 +119,7 @@
     );
     assert_eq!(
         r.on_report(&report("m-9", 1, 7, &[]), &at(4)),
-        Verdict::Stranger
+        Verdict::UnknownMachine
     );
     // The other machine has task 1 of the old owner: it stays, task 0 starts.
     r.on_report(&report("m-2", 1, 7, &[("req-1", 1, 5)]), &at(5));
@@ -348,13 +348,13 @@
     assert!(asked);
 }
 
-/// Guarantee, then rank, then the operators' precedence, then the aims.
+/// Guarantee, then priority, then the operators' precedence, then the aims.
 #[test]
 fn order_of_waiting_jobs() {
     let mut f = Fixture::new();
     f.settings.operator.precedence = vec!["first".into(), "second".into()];
     // Red is guaranteed 4 processors: its first job fits, the others don't.
-    for (i, (id, class, rank, tasks)) in [
+    for (i, (id, class, priority, tasks)) in [
         ("req-1", "other", "1", 2),
         ("req-2", "second", "1", 2),
         ("req-3", "first", "1", 2),
@@ -364,7 +364,7 @@
     .into_iter()
     .enumerate()
     {
-        f.job(id, "red", class, rank, tasks, i as u64);
+        f.job(id, "red", class, priority, tasks, i as u64);
     }
     let mut r = f.take(7, SECOND);
     let v = f.view(SECOND);
@@ -471,7 +471,7 @@
     let mut began = None;
     for s in 2..240u64 {
         let now = s * SECOND;
-        // More small work than goes in, of the same rank and team.
+        // More small work than goes in, of the same priority and team.
         for i in 0..3 {
             shop.submit(
                 &format!("req-{}", s * 10 + i),
--- a/src/registry/pipelines.rs
+++ b/src/registry/pipelines.rs
@@ -167,7 +167,7 @@
             let Some(dependent) = self.record(dependent, jobs).and_then(JobRecord::open) else {
                 continue;
             };
-            served.rank = served.rank.max(dependent.rank);
+            served.priority = served.priority.max(dependent.priority);
             if let Some(deadline) = dependent.deadline {
                 let due = (dependent.submitted + deadline).saturating_sub(dependent.estimate);
                 let left = due.saturating_sub(served.submitted);
--- a/src/registry/pipelines/tests.rs
+++ b/src/registry/pipelines/tests.rs
@@ -3,7 +3,7 @@
 use serde_json::{json, Value};
 
 use super::MAX_STEPS_PER_CHANGE;
-use crate::model::Rank;
+use crate::model::Priority;
 use crate::registry::records::{value, JobRecord, Key, Stage};
 use crate::registry::replica::Replica;
 
@@ -121,7 +121,7 @@
     assert!(f.r.waiting_for_unknown().is_empty());
 }
 
-/// Rank and deadline flow back, times count from readiness, and none of it is ever
+/// Priority and deadline flow back, times count from readiness, and none of it is ever
 /// written to the records.
 #[test]
 fn served_by_what_comes_after() {
@@ -137,7 +137,11 @@
     // From the submission 300 s, less 5 for the last; less 20 more for the second.
     for (id, deadline) in [("1", 275_000_000), ("2", 295_000_000), ("3", 300_000_000)] {
         let s = spec(&f, id);
-        assert_eq!((s.rank, s.deadline), (Rank::High, Some(deadline)), "{id}");
+        assert_eq!(
+            (s.priority, s.deadline),
+            (Priority::High, Some(deadline)),
+            "{id}"
+        );
         let written = value(&f.r.jobs[id].value);
         let own = if id == "3" { "2" } else { "0" };
         assert_eq!(written["j"]["r"], json!(own), "{id}: {written}");
@@ -150,7 +154,7 @@
     // The last is cancelled: nobody presses any more.
     f.cancelled("3");
     let s = spec(&f, "2");
-    assert_eq!((s.rank, s.deadline), (Rank::Low, None));
+    assert_eq!((s.priority, s.deadline), (Priority::Low, None));
 }
 
 /// A record without needs is the same as versions before 0.3 wrote it, byte for byte,
@@ -220,9 +224,9 @@
     let first = lookups(&mut f, |f| f.open(&last, &[&before], urgent));
     let bound = 4 * MAX_STEPS_PER_CHANGE as u64;
     assert!(first <= bound, "{first} lookups");
-    let rank = |f: &Records, id: &str| f.r.jobs[id].value.open().unwrap().rank;
-    assert_eq!(rank(&f, &before), Rank::High);
-    assert_eq!(rank(&f, "0"), Rank::Low, "not yet");
+    let priority = |f: &Records, id: &str| f.r.jobs[id].value.open().unwrap().priority;
+    assert_eq!(priority(&f, &before), Priority::High);
+    assert_eq!(priority(&f, "0"), Priority::Low, "not yet");
     let mut rounds = 0;
     while f.r.has_unpropagated() {
         let looked = lookups(&mut f, |f| f.r.continue_propagation());
@@ -230,7 +234,7 @@
         rounds += 1;
     }
     assert!((2..=4).contains(&rounds), "{rounds}");
-    assert_eq!(rank(&f, "0"), Rank::High);
+    assert_eq!(priority(&f, "0"), Priority::High);
     let spec = f.r.jobs["0"].value.open().unwrap();
     // The estimates, 10 s each, of all behind it but the last.
     let left = 30_000_000_000 - (LENGTH as u64 - 1) * 10_000_000;
--- a/src/registry/records.rs
+++ b/src/registry/records.rs
@@ -23,9 +23,9 @@
     /// A machine and the region it is dealt to, as versions before 0.2 kept it.
     Machine(String),
     /// Machines rented together and the region they are dealt to.
-    Lot(String),
+    MachineBatch(String),
     /// Which machines of a region's lots were opened, by region and number.
-    Roll(String, u32),
+    Opened(String, u32),
     /// A job.
     Job(String),
     /// Finished tasks of a job, as one region found them.
@@ -44,8 +44,8 @@
             Key::Token => format!("{PREFIX}token"),
             Key::Region(r) => format!("{PREFIX}region/{r}"),
             Key::Machine(m) => format!("{PREFIX}machine/{m}"),
-            Key::Lot(l) => format!("{PREFIX}lot/{l}"),
-            Key::Roll(r, n) => format!("{PREFIX}roll/{r}/{n}"),
+            Key::MachineBatch(l) => format!("{PREFIX}lot/{l}"),
+            Key::Opened(r, n) => format!("{PREFIX}roll/{r}/{n}"),
             Key::Job(j) => format!("{PREFIX}job/{j}"),
             Key::Progress(j, r, c) => format!("{PREFIX}progress/{j}/{r}/{c}"),
             Key::Quota(t) => format!("{PREFIX}quota/{t}"),
@@ -62,10 +62,10 @@
             "token" => Key::Token,
             "region" => Key::Region(rest.into()),
             "machine" => Key::Machine(rest.into()),
-            "lot" => Key::Lot(rest.into()),
+            "lot" => Key::MachineBatch(rest.into()),
             "roll" => {
                 let (r, n) = rest.rsplit_once('/')?;
-                Key::Roll(r.into(), n.parse().ok()?)
+                Key::Opened(r.into(), n.parse().ok()?)
             }
             "job" => Key::Job(rest.into()),
             "quota" => Key::Quota(rest.into()),
@@ -124,7 +124,7 @@
 /// are dealt together. One record for many: a record a machine would cost
 /// more changes than the state service takes when thousands come at once.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LotRecord {
+pub struct MachineBatchRecord {
     /// Region, for life.
     #[serde(rename = "r")]
     pub region: String,
@@ -147,12 +147,12 @@
 /// the region's owner before it sends the first start to a machine: one that isn't
 /// in it has never been given a task by anyone.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct RollRecord(pub std::collections::BTreeMap<String, String>);
+pub struct OpenedRecord(pub std::collections::BTreeMap<String, String>);
 
 /// Most machines of a lot: what one rental returns at the most.
-pub const LOT: usize = 50;
+pub const MAX_BATCH: usize = 50;
 /// Most lots of one roll record, so that it stays below 2 KB.
-pub const ROLL: usize = 40;
+pub const MAX_OPENED_BATCHES: usize = 40;
 
 /// Where a job stands, for good or for now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/registry/records/tests.rs
+++ b/src/registry/records/tests.rs
@@ -9,8 +9,8 @@
         Key::Token,
         Key::Region("a".into()),
         Key::Machine("m-1".into()),
-        Key::Lot("t-0-4-1".into()),
-        Key::Roll("t-0".into(), 3),
+        Key::MachineBatch("t-0-4-1".into()),
+        Key::Opened("t-0".into(), 3),
         Key::Job("req-1".into()),
         Key::Progress("req-1".into(), "t-0".into(), 7),
         Key::Quota("x".into()),
@@ -72,8 +72,8 @@
     match kind {
         "leader" => again::<LeaderRecord>(text),
         "region" => again::<RegionRecord>(text),
-        "lot" => again::<LotRecord>(text),
-        "roll" => again::<RollRecord>(text),
+        "lot" => again::<MachineBatchRecord>(text),
+        "roll" => again::<OpenedRecord>(text),
         "quota" => again::<QuotaRecord>(text),
         _ => again::<JobRecord>(text),
     }
--- a/src/registry/replica.rs
+++ b/src/registry/replica.rs
@@ -8,8 +8,8 @@
 
 use super::pipelines::{PipelineEnd, Pipelines, Readiness};
 use super::records::{
-    read_bitmap, JobRecord, Key, LeaderRecord, LotRecord, MachineRecord, Part, QuotaRecord,
-    RegionRecord, RollRecord, Stage,
+    read_bitmap, JobRecord, Key, LeaderRecord, MachineBatchRecord, MachineRecord, OpenedRecord,
+    Part, QuotaRecord, RegionRecord, Stage,
 };
 use crate::model::{Flavor, JobSpec, RangeSet};
 use crate::settings::Amount;
@@ -38,9 +38,9 @@
     /// Machines, of lots and with records of their own.
     pub machines: BTreeMap<String, Versioned<MachineRecord>>,
     /// Lots of machines.
-    pub lots: BTreeMap<String, Versioned<LotRecord>>,
+    pub batches: BTreeMap<String, Versioned<MachineBatchRecord>>,
     /// Which machines of lots were opened.
-    pub rolls: BTreeMap<(String, u32), Versioned<RollRecord>>,
+    pub opened: BTreeMap<(String, u32), Versioned<OpenedRecord>>,
     /// Machines by region, type, zone and kind, counted.
     pub stock: BTreeMap<String, BTreeMap<(String, String, bool), u32>>,
     /// Jobs.
@@ -106,8 +106,8 @@
                 .get(m)
                 .filter(|v| v.value.lot.is_none())
                 .map_or(0, |v| v.mark),
-            Key::Lot(l) => self.lots.get(l).map_or(0, |v| v.mark),
-            Key::Roll(r, n) => self.rolls.get(&(r.clone(), *n)).map_or(0, |v| v.mark),
+            Key::MachineBatch(l) => self.batches.get(l).map_or(0, |v| v.mark),
+            Key::Opened(r, n) => self.opened.get(&(r.clone(), *n)).map_or(0, |v| v.mark),
             Key::Job(j) => self.jobs.get(j).map_or(0, |v| v.mark),
             Key::Progress(j, r, c) => self
                 .progress
@@ -175,17 +175,17 @@
                 }
                 Err(e) => Err(e),
             },
-            Key::Lot(l) => match value.map(serde_json::from_value).transpose() {
+            Key::MachineBatch(l) => match value.map(serde_json::from_value).transpose() {
                 Ok(rec) => {
-                    self.enter_lot(l, rec, mark);
+                    self.enter_batch(l, rec, mark);
                     Ok(())
                 }
                 Err(e) => Err(e),
             },
-            Key::Roll(r, n) => {
-                let res = set(&mut self.rolls, (r.clone(), *n), value, mark);
+            Key::Opened(r, n) => {
+                let res = set(&mut self.opened, (r.clone(), *n), value, mark);
                 if res.is_ok() {
-                    self.enter_roll(r, *n);
+                    self.enter_opened(r, *n);
                 }
                 res
             }
@@ -222,7 +222,10 @@
             // wrote it is a later version of us, or broken.
             log::error!("registry: {}: record can't be read: {e}", key.text());
         }
-        if matches!(key, Key::Machine(_) | Key::Lot(_) | Key::Roll(..)) {
+        if matches!(
+            key,
+            Key::Machine(_) | Key::MachineBatch(_) | Key::Opened(..)
+        ) {
             if done.is_ok() {
                 self.unreadable.remove(key);
             } else {
@@ -366,8 +369,8 @@
         self.touched.insert(name.to_owned());
     }
 
-    fn enter_lot(&mut self, id: &str, rec: Option<LotRecord>, mark: u64) {
-        let old = self.lots.remove(id).map(|l| l.value);
+    fn enter_batch(&mut self, id: &str, rec: Option<MachineBatchRecord>, mark: u64) {
+        let old = self.batches.remove(id).map(|l| l.value);
         for (i, name) in old.iter().flat_map(|l| l.machines.iter().enumerate()) {
             let stays = rec
                 .as_ref()
@@ -404,7 +407,7 @@
                 self.enter_machine(name, Some(value), mark);
             }
         }
-        self.lots
+        self.batches
             .insert(id.to_owned(), Versioned { value: rec, mark });
     }
 
@@ -412,7 +415,7 @@
     fn opened_in(&self, region: &str, lot: &str) -> RangeSet {
         let mut set = RangeSet::default();
         let rolls = self
-            .rolls
+            .opened
             .range((region.to_owned(), 0)..=(region.to_owned(), u32::MAX));
         for (_, roll) in rolls {
             if let Some(bits) = roll.value.0.get(lot) {
@@ -422,12 +425,12 @@
         set
     }
 
-    fn enter_roll(&mut self, region: &str, n: u32) {
-        let Some(roll) = self.rolls.get(&(region.to_owned(), n)) else {
+    fn enter_opened(&mut self, region: &str, n: u32) {
+        let Some(roll) = self.opened.get(&(region.to_owned(), n)) else {
             return;
         };
         for (lot, bits) in &roll.value.0 {
-            let Some(l) = self.lots.get(lot) else {
+            let Some(l) = self.batches.get(lot) else {
                 continue;
             };
             let mut set = RangeSet::default();
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -232,7 +232,7 @@
 /// The operators' own settings, with defaults that suit most sites.
 #[derive(Debug, Clone)]
 pub struct Operator {
-    /// Classes in the order in which they go first, after guarantee and rank.
+    /// Classes in the order in which they go first, after guarantee and priority.
     pub precedence: Vec<String>,
     /// How long a machine may stand idle before it is returned; unless given, as
     /// long as one of its type takes to boot.
--- a/src/sim.rs
+++ b/src/sim.rs
@@ -423,11 +423,11 @@
             let cpus = [0.5, 1.0, 2.0][w.rng.usize(0..3)];
             let team = ["red", "blue"][w.rng.usize(0..2)];
             let run = w.rng.u64(3..25);
-            let rank = match plan.load {
+            let priority = match plan.load {
                 Load::Crowd => ["low", "standard", "urgent", "critical"][i as usize % 4],
                 _ => "standard",
             };
-            let spec = json!({"nameId": id, "crop": "x", "crew": team, "furrow": kind, "rank": rank,
+            let spec = json!({"nameId": id, "crop": "x", "crew": team, "furrow": kind, "rank": priority,
                 "sheaves": tasks, "cores": cpus, "cards": 0.0, "memoryGb": 1.0, "seed": "img", "sizeGb": 1.0,
                 "plots": null, "field": null, "samePlace": false, "spread": false, "fallow": w.rng.bool(),
                 "growthS": if kind == "standing" { 0 } else { run }, "stookS": 0.0, "bindS": 0.0, "harvestS": null});
