--- a/src/region/records.rs
+++ b/src/region/records.rs
@@ -160,7 +160,7 @@
         // them, since it can't see our share of the job otherwise.
         let here = job.mine.len() < job.spec.tasks && job.done.len() >= job.mine.len();
         let gap = (self.unwritten.len() * v.settings.size()) as f64
-            / (v.settings.store_writes * 0.15)
+            / (v.settings.store_writes_least * 0.15)
             * 1e6;
         let gap = (gap as Micros).max(3 * SECOND);
         let job_age = v.now.saturating_sub(job.last_write);
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -281,7 +281,10 @@
     in_flight: usize,
     requests: Bucket,
     writes: Bucket,
-    write_floor: f64,
+    /// The lowest rate of changes that the state service will have for all controllers.
+    writes_least: f64,
+    /// How many controllers share it.
+    controllers: f64,
     write_most: f64,
     out: Vec<StoreCall>,
     commit_times: Vec<Micros>,
@@ -347,7 +350,8 @@
             in_flight: 0,
             requests: Bucket::new(share * 0.95),
             writes: Bucket::new(s.store_writes * most),
-            write_floor: s.store_writes_least * 0.95 / n,
+            writes_least: s.store_writes_least,
+            controllers: n,
             write_most: s.store_writes * most,
             out: Vec::new(),
             commit_times: Vec::new(),
@@ -885,7 +889,9 @@
         self.in_flight -= 1;
         match &result {
             Ok(r) if r.status == 429 => {
-                self.writes.rate = (self.writes.rate * 0.7).max(self.write_floor)
+                let leads = self.grant_id(GrantName::Leader).is_some();
+                let floor = write_floor(self.writes_least, self.controllers, leads);
+                self.writes.rate = (self.writes.rate * 0.7).max(floor);
             }
             Ok(r) if r.status == 200 => {
                 self.writes.rate = (self.writes.rate + 0.05).min(self.write_most);
@@ -949,6 +955,23 @@
     }
 }
 
+/// The rate of changes below which a controller doesn't go, however often it is refused.
+/// The leader binds every job and records every machine beside what its own region asks
+/// for. With an even share its changes waited for up to 20 s under a lowered limit, and
+/// every step of a pipeline with them, while the others wrote down progress.
+fn write_floor(all: f64, controllers: f64, leads: bool) -> f64 {
+    /// What the leader needs, in shares of the others.
+    const LEADER_SHARES: f64 = 2.5;
+    /// Some is left for clocks that run apart and requests that are tried again.
+    const USABLE: f64 = 0.95;
+    let share = all * USABLE / (controllers - 1.0 + LEADER_SHARES);
+    if leads {
+        share * LEADER_SHARES
+    } else {
+        share
+    }
+}
+
 fn txn_value(t: &Txn) -> Value {
     let conditions: &[_] = if is_left_out(Guard::RevisionConditions) {
         &[]
@@ -974,3 +997,6 @@
         .collect();
     json!({"when": when, "apply": apply})
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/registry/tests.rs
@@ -0,0 +1,61 @@
+//! Tests of registry.
+
+use super::*;
+
+/// However often all controllers are refused, together they stay below the limit, and the
+/// leader keeps the greater part of it.
+#[test]
+fn the_least_rates_fit_under_the_limit() {
+    for (limit, controllers) in [(18.0, 5.0), (25.0, 5.0), (50.0, 3.0), (10.0, 1.0)] {
+        let leader = write_floor(limit, controllers, true);
+        let other = write_floor(limit, controllers, false);
+        let all = leader + other * (controllers - 1.0);
+        assert!(all < limit && all > limit * 0.9, "{limit}, {controllers}");
+        assert!(leader >= 2.0 * other, "{limit}, {controllers}");
+    }
+}
+
+/// A refusal for the rate brings a controller down to its least share and no further; the
+/// leader's is the greater.
+#[test]
+fn refusals_lower_the_rate_to_its_least() {
+    let settings = Settings::parse("f", &crate::settings::tests::sample()).unwrap();
+    let rate_after = |leads: bool| {
+        let mut registry = Registry::new(&settings);
+        if leads {
+            registry.leader.state = GrantState::Held {
+                id: 1,
+                renewed: 0,
+                next: 0,
+            };
+        }
+        for _ in 0..40 {
+            let commit = Commit {
+                ticket: 1,
+                txn: Txn {
+                    when: Vec::new(),
+                    apply: Vec::new(),
+                    lease: None,
+                },
+                urgency: Urgency::Later,
+                asked: 0,
+                give_up: None,
+                not_before: 0,
+                unsure: false,
+            };
+            registry.in_flight += 1;
+            let refused = Ok(Response::new(429, Vec::new()));
+            registry.on_commit(commit, refused, 0, &mut Vec::new());
+        }
+        registry.writes.rate
+    };
+    let (leader, other) = (rate_after(true), rate_after(false));
+    assert!(
+        (leader - write_floor(50.0, 3.0, true)).abs() < 1e-6,
+        "{leader}"
+    );
+    assert!(
+        (other - write_floor(50.0, 3.0, false)).abs() < 1e-6,
+        "{other}"
+    );
+}
