--- a/src/registry/tests.rs
+++ b/src/registry/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of registry.
 
+use super::commits::write_floor;
 use super::*;
 
 /// However often all controllers are refused, together they stay below the limit, and the
