--- a/src/region.rs
+++ b/src/region.rs
@@ -1,6 +1,6 @@
 //! The second level: the owner of a region places its tasks on its machines.
 //!
-//! Every task of a job bound here is in one [`Place`]; [`Region::transition`] is the
+//! Every task of a job bound here is in one [`Place`]; `Region::transition` is the
 //! only function that changes it. What is known of machines comes from their
 //! reports alone, and a task that may be on a machine stays there until that
 //! machine says otherwise or is provably empty.
--- a/src/sim.rs
+++ b/src/sim.rs
@@ -164,6 +164,28 @@
     zone: (usize, Micros),
 }
 
+impl Worker {
+    /// A machine that has not reported yet; its first report goes to controller `at`.
+    fn new(flavor: &str, spot: bool, at: usize) -> Self {
+        Worker {
+            flavor: flavor.into(),
+            spot,
+            season: 1,
+            tally: 0,
+            token: 0,
+            tasks: BTreeMap::new(),
+            answered: 0,
+            at,
+            timer: 0,
+            dead: false,
+            hangs: 0,
+            deaf: 0,
+            mute: 0,
+            zone: (0, 0),
+        }
+    }
+}
+
 #[derive(Default)]
 struct Store {
     data: BTreeMap<String, (Value, u64, Option<u64>)>,
--- a/src/sim/cloud.rs
+++ b/src/sim/cloud.rs
@@ -42,22 +42,11 @@
                 for _ in 0..n {
                     let name = format!("m-{:06}", self.next_machine);
                     self.next_machine += 1;
-                    let w = Worker {
-                        flavor: body["plot"].as_str().unwrap().into(),
-                        spot: body["fallow"].as_bool().unwrap(),
-                        season: 1,
-                        tally: 0,
-                        token: 0,
-                        tasks: BTreeMap::new(),
-                        answered: 0,
-                        at: self.rng.usize(0..3),
-                        timer: 0,
-                        dead: false,
-                        hangs: 0,
-                        deaf: 0,
-                        mute: 0,
-                        zone: (0, 0),
-                    };
+                    let w = Worker::new(
+                        body["plot"].as_str().unwrap(),
+                        body["fallow"].as_bool().unwrap(),
+                        self.rng.usize(0..3),
+                    );
                     self.workers.insert(name.clone(), w);
                     self.history.insert(name.clone(), (self.now, None));
                     let up = self.now + self.rng.u64(1..10) * SECOND;
--- a/src/sim/scenarios.rs
+++ b/src/sim/scenarios.rs
@@ -169,22 +169,9 @@
         w.store.data.insert(k.into(), (v, m, None));
     }
     w.jobs.get_mut(&id).unwrap().done.insert(0);
-    let mut worker = Worker {
-        flavor: "box".into(),
-        spot: false,
-        season: 2,
-        tally: 40,
-        token: 4,
-        tasks: BTreeMap::new(),
-        answered: 1,
-        at: 0,
-        timer: 0,
-        dead: false,
-        hangs: 0,
-        deaf: 0,
-        mute: 0,
-        zone: (0, 0),
-    };
+    let mut worker = Worker::new("box", false, 0);
+    (worker.season, worker.tally, worker.token) = (2, 40, 4);
+    worker.answered = 1;
     let task = Task {
         attempt: 4 << 24 | 7,
         stage: "running",
