--- a/src/registry.rs
+++ b/src/registry.rs
@@ -241,6 +241,11 @@
     almanac: u64,
 }
 
+#[derive(Deserialize)]
+struct ErrorWire {
+    error: String,
+}
+
 #[derive(Deserialize)]
 struct TenureWire {
     tenure: u64,
--- a/src/registry/commits.rs
+++ b/src/registry/commits.rs
@@ -117,7 +117,7 @@
                 decode::<AlmanacWire>(&r.body).map(|a| Outcome::Conflict(a.almanac))
             }
             Ok(r) if r.status == 400 => {
-                log::error!("registry: commit: refused as malformed or without grant");
+                log_refusal(&c.txn, &r.body);
                 Some(if c.unsure {
                     Outcome::Unknown
                 } else {
@@ -182,6 +182,22 @@
     }
 }
 
+/// A lease that ended is part of losing a region, and said there; anything else that is
+/// refused for good is a fault of ours. Neither is sent again.
+fn log_refusal(txn: &Txn, body: &[u8]) {
+    let reason = rmp_serde::from_slice::<ErrorWire>(body).map(|e| e.error);
+    let reason = reason.unwrap_or_default();
+    let first = txn
+        .apply
+        .first()
+        .map_or_else(String::new, |(k, _)| k.text());
+    if reason.contains("lease") {
+        log::info!("registry: commit: {first}: the grant has ended");
+    } else {
+        log::error!("registry: commit: {first}: refused, {reason}");
+    }
+}
+
 fn txn_value(t: &Txn) -> Value {
     let conditions: &[_] = if is_left_out(Guard::RevisionConditions) {
         &[]
