A job that fails wherever it runs is told from a faulty machine and tried a little at a time

Cause: a job submitted with a mistake closed up to two sound machines as faulty, took machines for all its tasks at each try, was rented for and stopped others' work.

--- a/src/leader.rs
+++ b/src/leader.rs
@@ -147,6 +147,9 @@
     narrow: Option<String>,
     /// Its team's limit is used up.
     short: bool,
+    /// It failed on several machines without a result: moved to where there is free
+    /// capacity, but nothing is rented for it.
+    suspect: bool,
 }
 
 impl Wait {
@@ -416,6 +419,7 @@
                     since: w.since_us,
                     narrow: narrow_type(spec, v.replica),
                     short: r.short.iter().any(|(t, _)| *t == spec.team),
+                    suspect: w.stuck,
                 });
             }
         }
@@ -424,6 +428,7 @@
         let mut rooms = self.rooms.clone();
         self.move_waiting(v, &mut waits, &mut rooms);
         if v.now > self.began + SECOND {
+            waits.retain(|w| !w.suspect);
             self.rent(v, &waits, &mut rooms, fleet);
         }
         self.rooms = rooms;
--- a/src/leader/demand.rs
+++ b/src/leader/demand.rs
@@ -24,7 +24,10 @@
         }
         self.usual += (used - self.usual) * 0.04;
         let mut backlog = 0.0;
-        for w in waits.iter().filter(|w| w.narrow.is_none() && !w.whole()) {
+        for w in waits
+            .iter()
+            .filter(|w| w.narrow.is_none() && !w.whole() && !w.suspect)
+        {
             // No more than all at once.
             let span = self.truth * w.spec.estimate.max(SECOND) as f64;
             let part = span / horizon(&w.spec, v) as f64;
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -34,7 +34,8 @@
     pub waiting: u32,
     /// How long the oldest has waited for room.
     pub since_us: u64,
-    /// Part of a gang over several regions whose attempt was tried in vain.
+    /// Tried in vain: part of a gang over several regions whose attempt failed, or a job
+    /// that failed on several machines without a result.
     pub stuck: bool,
 }
 
--- a/src/region.rs
+++ b/src/region.rs
@@ -5,6 +5,7 @@
 //! reports alone, and a task that may be on a machine stays there until that
 //! machine says otherwise or is provably empty.
 
+mod failures;
 mod gangs;
 mod jobs;
 mod list;
@@ -34,6 +35,7 @@
 use crate::settings::{Amount, Settings};
 use crate::units::{stretch, to_secs, Micros, MILLI, SECOND};
 use crate::workers::{Command, End, OnMachine, Report, MAX_COMMANDS};
+use failures::{JobFailures, MachineFailures};
 use list::{fits, GroupKey, List, Listed, Room};
 use machines::Ear;
 use placing::{Hold, OrderKey};
@@ -123,7 +125,7 @@
     notice: Option<Micros>,
     tasks: BTreeMap<(JobId, u32), Held>,
     idle_since: Micros,
-    errors: u32,
+    failures: MachineFailures,
     images: BTreeSet<String>,
     closed: Option<&'static str>,
     releasing: bool,
@@ -172,8 +174,7 @@
     /// When a task of it was last assigned to a machine, or when it was bound here.
     last_assigned: Micros,
     not_before: Micros,
-    failures: u32,
-    failed_on: BTreeSet<Rc<str>>,
+    failures: JobFailures,
     writing: bool,
     last_write: Micros,
     breaking: bool,
@@ -206,8 +207,7 @@
             wait_since: now,
             last_assigned: now,
             not_before: 0,
-            failures: 0,
-            failed_on: BTreeSet::new(),
+            failures: JobFailures::default(),
             writing: false,
             last_write: 0,
             breaking: false,
@@ -230,6 +230,19 @@
         any || results >= self.spec.tasks || (self.spec.kind == Kind::Gang && results > 0)
     }
 
+    /// How many of its tasks are to be started or moved now: of a suspect array one at a
+    /// time, so that it takes neither machines nor shares from others.
+    fn wanted(&self) -> u32 {
+        let waiting = self.waiting.len();
+        if !self.failures.is_suspect() || self.spec.kind == Kind::Gang {
+            waiting
+        } else if self.out.is_empty() {
+            waiting.min(1)
+        } else {
+            0
+        }
+    }
+
     /// All of a gang's tasks here wait, and under a joint attempt that was tried:
     /// only another attempt lets it start.
     fn stuck(&self) -> bool {
@@ -721,13 +734,14 @@
             .ready
             .values()
             .filter_map(|id| Some((id, self.jobs.get(id)?)))
-            .filter(|(_, j)| !j.writing && j.not_before <= v.now)
+            .filter(|(_, j)| !j.writing)
+            .filter(|(_, j)| j.failures.is_suspect() || j.not_before <= v.now)
             .take(200)
             .map(|(id, j)| WaitLine {
                 job: id.to_string(),
-                waiting: j.waiting.len(),
+                waiting: j.wanted(),
                 since_us: v.now.saturating_sub(j.wait_since),
-                stuck: j.stuck(),
+                stuck: j.stuck() || j.failures.is_suspect(),
             })
             .collect();
         let mut rooms = Vec::new();
--- a/src/region/gangs.rs
+++ b/src/region/gangs.rs
@@ -126,6 +126,9 @@
             return;
         }
         let Some(job) = self.jobs.get(id) else { return };
+        if job.failures.is_suspect() {
+            return;
+        }
         // Since its submission: it may have been moved here.
         let age = v.wall.saturating_sub(job.spec.submitted);
         if age < HOLD_AFTER {
--- a/src/region/machines.rs
+++ b/src/region/machines.rs
@@ -88,7 +88,7 @@
             notice: None,
             tasks: BTreeMap::new(),
             idle_since: v.now,
-            errors: 0,
+            failures: MachineFailures::default(),
             images: BTreeSet::new(),
             closed: None,
             releasing: false,
--- a/src/region/placing.rs
+++ b/src/region/placing.rs
@@ -6,12 +6,24 @@
 use crate::fault_injection::{is_left_out, Guard};
 
 /// The order of waiting jobs, least first; see [`Region::order_key`].
-pub(super) type OrderKey = (
-    (bool, std::cmp::Reverse<crate::model::Priority>, usize),
-    (bool, bool, u64),
-    u64,
-    JobId,
-);
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct OrderKey {
+    /// It failed on several machines without a result: after all others.
+    suspect: bool,
+    /// It goes beyond its team's guarantee.
+    pub beyond_guarantee: bool,
+    priority: std::cmp::Reverse<crate::model::Priority>,
+    /// Place of its class in the operators' precedence.
+    precedence: usize,
+    /// None of its aims can be met any more.
+    past_aims: bool,
+    /// No aim presses.
+    relaxed: bool,
+    /// What decides among equals: a time to start by, a size, or the age.
+    weight: u64,
+    submitted: Micros,
+    id: JobId,
+}
 
 /// Places kept for the gang whose turn it is, so that they fill up under steady
 /// small work.
@@ -213,31 +225,35 @@
             .guaranteed
             .get(&s.team)
             .is_some_and(|last| (s.submitted, &**id) <= (last.0, last.1.as_str()));
-        let first = (!guaranteed, std::cmp::Reverse(s.priority), precedence);
+        let suspect = self.jobs.get(id).is_some_and(|j| j.failures.is_suspect());
+        let key = |past_aims: bool, relaxed: bool, weight: u64| OrderKey {
+            suspect,
+            beyond_guarantee: !guaranteed,
+            priority: std::cmp::Reverse(s.priority),
+            precedence,
+            past_aims,
+            relaxed,
+            weight,
+            submitted: s.submitted,
+            id: id.clone(),
+        };
         // One task needs no others' places: it goes by its aims like the rest.
         let together = s.kind == Kind::Gang && s.tasks > 1;
         let aged = s.submitted + PATIENCE;
         if together || v.wall >= aged {
-            return (
-                (first, (false, false, s.submitted), s.submitted, id.clone()),
-                None,
-            );
+            return (key(false, false, s.submitted), None);
         }
         let due = latest_start(s, v);
         let size = s.estimate.saturating_mul(s.tasks.into()) / 1000 * (s.cpus / 1000).max(1);
         let pressing = due.is_some_and(|d| d < v.wall + PRESSING);
-        let second = (
-            due.is_none(),
-            !pressing,
-            if pressing { due.unwrap_or(0) } else { size },
-        );
+        let weight = if pressing { due.unwrap_or(0) } else { size };
         let change = match due {
             Some(d) if pressing => d,
             Some(d) => d - PRESSING,
             None => aged,
         };
         let span = change.min(aged).saturating_sub(v.wall) + MILLI;
-        ((first, second, s.submitted, id.clone()), Some(span))
+        (key(due.is_none(), !pressing, weight), Some(span))
     }
 
     /// Enters a job into the order of waiting jobs, or takes it out.
@@ -384,7 +400,7 @@
                     (
                         // What may run elsewhere keeps off a type that others need.
                         wide && self.list.kept(k).is_some(),
-                        job.failed_on.contains(name),
+                        job.failures.failed_on(name),
                         held,
                         !m.images.contains(&s.image),
                         !k.2 && s.spot,
@@ -431,7 +447,7 @@
             if scarce
                 || h.stop.is_some()
                 || !fits(room, s)
-                || job.failed_on.contains(name)
+                || job.failures.failed_on(name)
                 || (bound && m.group != o.group)
                 || (!fewer && v.now < since + patience)
                 || !self.allowed(&id, job, &m.group, None, &BTreeSet::new(), v)
@@ -537,9 +553,13 @@
                 continue;
             };
             let spec = job.spec.clone();
-            let waiting = job.waiting.len() as u64;
+            let waiting = u64::from(job.wanted());
+            let suspect = job.failures.is_suspect();
             let room = self.room_for(id, None, waiting, v);
-            let mut n = if spec.kind == Kind::Gang {
+            // A suspect job takes what is free now, and no share ahead of that.
+            let mut n = if suspect && room < waiting {
+                0
+            } else if spec.kind == Kind::Gang {
                 let could = self.list.potential(&spec, job.narrow_to.is_none(), |k| {
                     spec.permits(&k.0, &k.1, k.2)
                 });
@@ -587,6 +607,9 @@
     fn place_tasks(&mut self, id: &JobId, v: &View<'_>) {
         loop {
             let Some(job) = self.jobs.get(id) else { return };
+            if job.wanted() == 0 {
+                return;
+            }
             let Some(n) = job.waiting.first() else { return };
             let spec = job.spec.clone();
             // Where the job's other tasks are at this moment binds the next.
--- a/src/region/preemption.rs
+++ b/src/region/preemption.rs
@@ -21,9 +21,14 @@
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
-            let guaranteed = job.key.as_ref().is_some_and(|k| !k.0 .0);
+            let guaranteed = job.key.as_ref().is_some_and(|k| !k.beyond_guarantee);
             let wait = v.now.saturating_sub(job.wait_since);
-            if job.short || job.not_before > v.now || wait < PREEMPT_AFTER || job.writing {
+            if job.short
+                || job.not_before > v.now
+                || wait < PREEMPT_AFTER
+                || job.writing
+                || job.failures.is_suspect()
+            {
                 continue;
             }
             // Guards against room made for a job that its team's share here does not
--- a/src/region/reports.rs
+++ b/src/region/reports.rs
@@ -195,7 +195,7 @@
             } else {
                 vec![t.task]
             };
-            job.failures = 0;
+            job.failures.succeeded();
             let gang = job.spec.kind == Kind::Gang;
             for n in tasks {
                 // Done, yet held on another machine: it counts there until that
@@ -228,7 +228,7 @@
                 self.transition(&t.job, n, Place::Done, None, v.now);
             }
             if let Some(m) = self.machines.get_mut(machine) {
-                m.errors = 0;
+                m.failures.succeeded();
             }
             self.after_out(&t.job);
             self.write_progress(&t.job, v);
@@ -239,23 +239,7 @@
         }
         log::debug!("region: {}/{}: ended on {machine}: {end:?}", t.job, t.task);
         let wait = match end {
-            End::Error => {
-                job.failures += 1;
-                job.failed_on.insert(Rc::from(machine));
-                // A job that fails on machine after machine is at fault itself.
-                if job.failed_on.len() <= 2 {
-                    if let Some(m) = self.machines.get_mut(machine) {
-                        m.errors += 1;
-                        if m.errors >= 3 && m.closed.is_none() {
-                            log::info!("region: {machine}: closed, its tasks keep failing");
-                            m.closed = Some("faulty");
-                            m.due = v.now;
-                            self.due.insert((v.now, Rc::from(machine)));
-                        }
-                    }
-                }
-                (SECOND << job.failures.min(5)).min(30 * SECOND)
-            }
+            End::Error => self.on_failed(machine, &t.job, v),
             End::Unknown => 5 * SECOND,
             End::Full => {
                 log::info!("region: {machine}: refused {}/{}: full", t.job, t.task);
@@ -264,11 +248,18 @@
             End::Busy => SECOND,
             _ => 0,
         };
+        let Some(job) = self.jobs.get_mut(&t.job) else {
+            return;
+        };
         if wait > 0 {
             job.not_before = job.not_before.max(v.now + wait);
             self.wake.insert((job.not_before, t.job.clone()));
         }
+        let suspect = job.failures.is_suspect();
         self.lost(&t.job, t.task, "ended", v);
+        if suspect {
+            self.withdraw_unsent(&t.job, v);
+        }
     }
 
     /// Adds stops and starts for a machine that was just heard from.
--- a/src/region/tests.rs
+++ b/src/region/tests.rs
@@ -375,16 +375,21 @@
 
 /// Machines that do as they are told, for tests that play a while: what runs
 /// where, and until when.
-struct Shop {
+pub(super) struct Shop {
     f: Fixture,
-    r: Region,
+    pub(super) r: Region,
     tally: u64,
     on: BTreeMap<String, BTreeMap<(String, u32, u64), Micros>>,
-    began: BTreeMap<(String, u32), Micros>,
+    pub(super) began: BTreeMap<(String, u32), Micros>,
+    /// How often tasks of a job were started.
+    pub(super) starts: BTreeMap<String, u32>,
+    /// Jobs whose tasks fail wherever they run, and machines on which all tasks do.
+    pub(super) broken: BTreeSet<String>,
+    pub(super) faulty: BTreeSet<String>,
 }
 
 impl Shop {
-    fn new(machines: usize) -> Self {
+    pub(super) fn new(machines: usize) -> Self {
         let mut f = Fixture::new();
         let names: Vec<String> = (0..machines).map(|i| format!("m-{i}")).collect();
         for m in &names {
@@ -401,19 +406,35 @@
             tally: 0,
             on: names.into_iter().map(|m| (m, BTreeMap::new())).collect(),
             began: BTreeMap::new(),
+            starts: BTreeMap::new(),
+            broken: BTreeSet::new(),
+            faulty: BTreeSet::new(),
         }
     }
 
-    fn submit(&mut self, id: &str, kind: &str, team: &str, tasks: u32, cpus: u64, now: Micros) {
+    pub(super) fn submit(
+        &mut self,
+        id: &str,
+        kind: &str,
+        team: &str,
+        tasks: u32,
+        cpus: u64,
+        now: Micros,
+    ) {
         let v = json!({"st":"o","b":[[0,tasks,"t-0"]],"j":{"c":"x","t":team,"k":kind,"r":"1","n":tasks,
             "u":cpus,"m":1_000_000,"i":"img","e":4_000_000,"a":now}});
         self.f.put(&format!("st/job/{id}"), v);
         self.r.on_job(id, &self.f.view(now), false);
     }
 
+    /// The region's waiting jobs as told to the other controllers.
+    pub(super) fn waits(&self, now: Micros) -> Vec<WaitLine> {
+        self.r.report(&self.f.view(now)).waits
+    }
+
     /// A second: what is through ends, each machine reports and does what it is
     /// told. `deaf` is told nothing.
-    fn second(&mut self, now: Micros, deaf: Option<&str>) {
+    pub(super) fn second(&mut self, now: Micros, deaf: Option<&str>) {
         self.tally += 1;
         for (m, tasks) in &mut self.on {
             let mut rep = report(m, self.tally, 7, &[]);
@@ -423,7 +444,8 @@
                     task: *n,
                     attempt: *attempt,
                     stage: if *ends <= now {
-                        OnMachine::Ended(End::Done)
+                        let fails = self.broken.contains(job) || self.faulty.contains(m);
+                        OnMachine::Ended(if fails { End::Error } else { End::Done })
                     } else {
                         OnMachine::Running
                     },
@@ -440,6 +462,7 @@
             for c in commands {
                 if let Command::Start(j, n, a) = c {
                     self.began.entry((j.to_string(), n)).or_insert(now);
+                    *self.starts.entry(j.to_string()).or_default() += 1;
                     tasks.insert((j.to_string(), n, a), now + 4 * SECOND);
                 }
             }
