--- a/src/quota.rs
+++ b/src/quota.rs
@@ -61,13 +61,13 @@
     last.cloned()
 }
 
-/// Whether a job of this size can ever run inside the team's limit.
-pub fn can_ever(kind: Kind, tasks: u32, each: Amount, limit: Amount) -> bool {
+/// Whether a job of this size can ever run inside the team's limit, if it has one.
+pub fn can_ever(kind: Kind, tasks: u32, each: Amount, limit: Option<Amount>) -> bool {
     let n = match kind {
         Kind::Array => 1,
         Kind::Gang | Kind::Service => tasks as u64,
     };
-    each.times(n).within(limit)
+    limit.is_none_or(|limit| each.times(n).within(limit))
 }
 
 #[cfg(test)]
--- a/src/quota/tests.rs
+++ b/src/quota/tests.rs
@@ -19,10 +19,11 @@
         (Kind::Gang, u32::MAX, a(u64::MAX, 0), false),
     ] {
         assert_eq!(
-            can_ever(kind, tasks, each, a(10, 0)),
+            can_ever(kind, tasks, each, Some(a(10, 0))),
             fits,
             "{kind:?} {tasks}"
         );
+        assert!(can_ever(kind, tasks, each, None), "{kind:?} {tasks}");
     }
 }
 
--- a/src/region/records.rs
+++ b/src/region/records.rs
@@ -231,6 +231,9 @@
 
     /// What the region may use for a team just now.
     pub(super) fn headroom(&self, team: &str, v: &View<'_>) -> Amount {
+        if v.settings.team(team).is_some_and(|t| t.limit.is_none()) {
+            return Amount::UNBOUNDED;
+        }
         let rec = v.replica.quotas.get(team).map(|q| &q.value);
         let mut share = quota::share(rec, &self.name);
         match self.shares.get(team) {
@@ -257,7 +260,8 @@
         let (regions, settled) = (v.settings.size() as u64, self.settled);
         let teams: Vec<Rc<str>> = self.shares.keys().cloned().collect();
         for team in teams {
-            let Some(limit) = v.settings.team(&team).map(|t| t.limit) else {
+            // A team without a limit needs no share of one.
+            let Some(limit) = v.settings.team(&team).and_then(|t| t.limit) else {
                 continue;
             };
             let rec = v.replica.quotas.get(&*team);
--- a/src/region/tests.rs
+++ b/src/region/tests.rs
@@ -397,7 +397,7 @@
         }
         // Room enough in the limits: these tests are not about them.
         for t in &mut f.settings.teams {
-            t.limit = t.limit.times(100);
+            t.limit = t.limit.map(|l| l.times(100));
         }
         let r = f.take(7, SECOND);
         Shop {
@@ -646,3 +646,18 @@
     r.clear_machine("m-1", &v);
     assert_eq!(r.on_report(&late, &v), Verdict::Stale);
 }
+
+/// A team without a guarantee and a limit gets what others leave, and needs no share on
+/// record for it.
+#[test]
+fn a_team_without_a_limit_is_served() {
+    let mut f = Fixture::new();
+    f.machine("m-1");
+    f.job("req-1", "guest", "x", "0", 3, 0);
+    let mut r = f.take(7, SECOND);
+    let v = f.view(2 * SECOND);
+    assert_eq!(starts(&r.on_report(&report("m-1", 1, 7, &[]), &v)), 2);
+    r.tick(&v);
+    let shares = |e: &Effect| matches!(e, Effect::Commit(_, _, Purpose::Share(_)));
+    assert!(!r.take_effects().iter().any(shares));
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -164,8 +164,8 @@
     pub name: String,
     /// Guaranteed processors and cards.
     pub guarantee: Amount,
-    /// Most processors and cards at any time.
-    pub limit: Amount,
+    /// Most processors and cards at any time; `None`: no limit.
+    pub limit: Option<Amount>,
 }
 
 /// Processors and cards together, in millionths.
@@ -178,6 +178,12 @@
 }
 
 impl Amount {
+    /// More than any machines together have.
+    pub const UNBOUNDED: Amount = Amount {
+        cpus: u64::MAX,
+        gpus: u64::MAX,
+    };
+
     /// Sum, never wrapping.
     pub fn plus(self, o: Amount) -> Amount {
         Amount {
@@ -410,7 +416,9 @@
             teams.push(Team {
                 name: t.name.clone(),
                 guarantee: amount(&field, t.cpus, t.gpus)?,
-                limit: amount(&field, t.cpus_max, t.gpus_max)?,
+                // A limit that would let nothing run at all is none.
+                limit: Some(amount(&field, t.cpus_max, t.gpus_max)?)
+                    .filter(|limit| *limit != Amount::default()),
             });
         }
         let w = &f.facts.workers;
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -11,7 +11,8 @@
         "outside": {"cloud": "127.0.0.1:7100", "state": "127.0.0.1:7200"},
         "facts": {"size": 3, "zones": ["a"], "later": 1,
             "teams": [{"name": "red", "cpus": 4.0, "cpus_max": 8.0, "gpus": 0.0, "gpus_max": 0.0},
-                      {"name": "blue", "cpus": 4.0, "cpus_max": 16.0, "gpus": 1.0, "gpus_max": 2.0}],
+                      {"name": "blue", "cpus": 4.0, "cpus_max": 16.0, "gpus": 1.0, "gpus_max": 2.0},
+                      {"name": "guest", "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0}],
             "objectives": [{"kind": "wait", "class": "x", "within_s": 10.0, "share": 0.9}],
             "workers": {"report_s": 3.0, "lease_s": 16.0, "gang_wait_s": 30.0, "gang_peer_s": 8.0, "cancel_s": 41.0},
             "state": {"rps": 100.0, "write_rps": 50.0, "value_kb": 4.0, "txn_ops": 12},
@@ -27,6 +28,9 @@
     let s = Settings::parse("f", &sample()).unwrap();
     assert_eq!(s.regions(), ["t-0", "t-1", "t-2"]);
     assert!(s.grant_life() + s.lease + 2 * units::SECOND < s.cancel);
+    let limit = |team: &str| s.team(team).unwrap().limit;
+    assert_eq!(limit("guest"), None);
+    assert_eq!(limit("red").map(|l| (l.cpus, l.gpus)), Some((8_000_000, 0)));
     // Limits to come, or parts of them, bound what is written from the start.
     for (next, bytes, ops, least) in [
         ("", 4096, 12, 50.0),
