Machines that come up late or never: rented by probes, waited for while a whole kind is late

Owners tell the leader which machines of a kind are overdue and how many came up (a further message). A kind in trouble counts as dearer, so another that fits goes first; of the same no more is rented than its overdue machines leave, and two every 20 s to see. Machines of such a kind are waited for longer, since a new one would be no sooner, and those that only some jobs fit on aren't returned for idleness.

--- a/src/fault_injection.rs
+++ b/src/fault_injection.rs
@@ -28,6 +28,8 @@
     CompleteResults,
     /// An owner that its workers don't reach releases its region.
     UnreachedRelease,
+    /// A kind of machine that comes up badly is rented by probes, and waited for.
+    BootTrouble,
     /// A job that fails wherever it runs is tried a little at a time.
     SuspectJobs,
     /// A gang that lacks its team's share keeps others from starting for a while only.
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -8,6 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
+use crate::fault_injection::{is_left_out, Guard};
 use crate::fleet::{offers, Fleet, FleetEvent, Listed, Offer, Refusals};
 use crate::mesh::{Message, RegionReport};
 use crate::model::{Flavor, JobSpec, Kind};
@@ -17,6 +18,8 @@
 use crate::registry::{Txn, Urgency};
 use crate::units::{to_secs, Micros, MILLI, SECOND};
 
+pub use boots::BootReports;
+
 /// What the leader wants done.
 #[derive(Debug)]
 pub enum Effect {
@@ -49,6 +52,8 @@
     writing: BTreeSet<Key>,
     coming: BTreeMap<String, Coming>,
     refusals: Refusals,
+    /// Kinds that come up badly.
+    pub boots: BootReports,
     narrow: NarrowMemory,
     moved: BTreeMap<String, Micros>,
     gone: BTreeMap<String, Micros>,
@@ -209,6 +214,7 @@
 }
 
 mod binding;
+mod boots;
 mod demand;
 mod joint_gangs;
 mod machines;
@@ -225,6 +231,7 @@
             writing: BTreeSet::new(),
             coming: BTreeMap::new(),
             refusals: Refusals::default(),
+            boots: BootReports::default(),
             narrow: NarrowMemory::default(),
             moved: BTreeMap::new(),
             gone: BTreeMap::new(),
@@ -393,6 +400,7 @@
 
     fn plan(&mut self, v: &View<'_>, reports: &Reports, fleet: &mut Fleet) {
         self.moved.retain(|_, at| v.now < *at + 2 * SECOND);
+        self.boots.expire(v.now);
         self.look_at_rooms(v, reports, fleet);
         self.lead_joint(v, reports);
         let mut waits: Vec<Wait> = Vec::new();
--- a/src/leader/renting.rs
+++ b/src/leader/renting.rs
@@ -78,6 +78,10 @@
                 let by_work = ((target - have) / f.cpus.max(1) as f64).ceil().max(1.0) as u64;
                 let by_tasks = tasks.div_ceil(per.max(1));
                 let count = by_work.min(by_tasks).clamp(1, MAX_BATCH as u64);
+                let count = u64::from(self.boots.limit(&offer, count as u32, v.now));
+                if count == 0 {
+                    break;
+                }
                 log::info!(
                     "leader: renting {count} {} in {}{}: {tasks} tasks wait, {:.0} processors, {:.0} wanted",
                     offer.flavor,
@@ -152,6 +156,10 @@
         if let Some((o, per)) = here(self, zone) {
             let lacking = need - have;
             let count = lacking.div_ceil(per.max(1)).clamp(1, MAX_BATCH as u64) as u32;
+            let count = self.boots.limit(&o, count, v.now);
+            if count == 0 {
+                return false;
+            }
             log::info!(
                 "leader: {}: {lacking} of its {need} tasks lack machines",
                 w.id
@@ -233,7 +241,8 @@
                 continue;
             }
             let cost = f.price_of(o.spot) as f64 / (per * s.cpus).max(1) as f64
-                * (1.0 + to_secs(f.boot) / 100.0);
+                * (1.0 + to_secs(f.boot) / 100.0)
+                * self.boots.penalty(&o);
             if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
                 best = Some((cost, o, per));
             }
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -75,6 +75,23 @@
     pub took: f64,
 }
 
+/// How machines of one kind come up in a region.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq)]
+pub struct BootLine {
+    /// Type.
+    pub flavor: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot or ordinary.
+    pub spot: bool,
+    /// Machines that should have come up.
+    pub overdue: u32,
+    /// Machines that came up lately.
+    pub arrived: u32,
+    /// For how long the first has been overdue.
+    pub since_us: u64,
+}
+
 /// A region on the status page.
 #[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, serde::Serialize)]
 pub struct StatusRegion {
@@ -190,7 +207,7 @@
         jobs: Vec<String>,
     },
     /// Machines of a region turn to the sender, since they don't reach its owner, who is
-    /// told. Sent only to peers that understand it, see [`UNDERSTANDS_UNREACHED`].
+    /// told. Sent only to peers that understand it, see [`UNDERSTANDS_EXTENSIONS`].
     Unreached {
         /// Region.
         region: String,
@@ -199,12 +216,20 @@
         /// How many machines did so lately.
         machines: u32,
     },
+    /// How machines of a region come up, for the leader. Sent only to peers that understand
+    /// it, see [`UNDERSTANDS_EXTENSIONS`].
+    Boots {
+        /// Region.
+        region: String,
+        /// The kinds of which machines are overdue.
+        kinds: Vec<BootLine>,
+    },
 }
 
 /// Set in the run number of a [`Message::State`] by controllers that understand
-/// [`Message::Unreached`]. Run numbers are below 2^53, and earlier versions look at none in
+/// [`Message::Unreached`] and [`Message::Boots`]. Run numbers are below 2^53, and earlier versions look at none in
 /// that message.
-pub const UNDERSTANDS_UNREACHED: u64 = 1 << 62;
+pub const UNDERSTANDS_EXTENSIONS: u64 = 1 << 62;
 
 /// A message as bytes.
 pub fn encode(m: &Message) -> Vec<u8> {
--- a/src/node.rs
+++ b/src/node.rs
@@ -89,8 +89,8 @@
     stale_since: Option<Micros>,
     /// Since when it has been heard and fresh without a break.
     well_since: Option<Micros>,
-    /// It reads [`Message::Unreached`].
-    understands_unreached: bool,
+    /// It reads the kinds of messages that came with 0.5.
+    understands_extensions: bool,
 }
 
 enum CallFor {
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -26,12 +26,13 @@
                 }
             }
         }
+        self.send_boots();
         self.mesh_count += 1;
         let all = self.mesh_count.is_multiple_of(ALL_TOLD);
         let state = |regions: Vec<mesh::RegionReport>| {
             mesh::encode(&Message::State {
                 from: self.settings.name.clone(),
-                run: self.run | mesh::UNDERSTANDS_UNREACHED,
+                run: self.run | mesh::UNDERSTANDS_EXTENSIONS,
                 fresh: self.fresh(),
                 regions,
             })
@@ -47,6 +48,35 @@
         }
     }
 
+    /// Tells the leader how machines of our regions come up, if some are overdue.
+    fn send_boots(&mut self) {
+        if !self.authority() {
+            return;
+        }
+        let now = self.now;
+        let told: Vec<Message> = self
+            .regions
+            .values_mut()
+            .map(|r| Message::Boots {
+                region: r.name.clone(),
+                kinds: r.boot_lines(now),
+            })
+            .filter(|m| matches!(m, Message::Boots { kinds, .. } if !kinds.is_empty()))
+            .collect();
+        let leader = self.registry.replica.leader.as_ref();
+        let leader = leader.map(|l| l.value.holder.clone()).unwrap_or_default();
+        let peer = self.settings.peers.iter().position(|p| p.name == leader);
+        let understands = self.peers.get(&leader);
+        let understands = understands.is_some_and(|p| p.understands_extensions);
+        for m in told {
+            match peer {
+                Some(i) if understands => self.reactor.send(i, &mesh::encode(&m)),
+                None if self.leader.is_some() => self.on_message(m),
+                _ => {}
+            }
+        }
+    }
+
     pub(super) fn on_message(&mut self, m: Message) {
         match m {
             Message::State {
@@ -62,7 +92,7 @@
                 };
                 let gap = p.heard.is_none_or(|h| now > h + 3 * SECOND);
                 p.heard = Some(now);
-                p.understands_unreached = run & mesh::UNDERSTANDS_UNREACHED != 0;
+                p.understands_extensions = run & mesh::UNDERSTANDS_EXTENSIONS != 0;
                 p.fresh = fresh;
                 p.stale_since = (!fresh).then(|| p.stale_since.unwrap_or(now));
                 if !fresh || gap {
@@ -104,6 +134,11 @@
                 token,
                 machines,
             } => self.on_unreached(region, token, machines),
+            Message::Boots { region, kinds } => {
+                if let Some(l) = &mut self.leader {
+                    l.boots.note(region, kinds, self.now);
+                }
+            }
             Message::Cancelled { .. }
                 if is_left_out(Guard::StartDeadline) || is_left_out(Guard::AuthorityDeadline) => {}
             Message::Cancelled { jobs } => {
--- a/src/node/reachability.rs
+++ b/src/node/reachability.rs
@@ -121,7 +121,7 @@
                 .peers
                 .iter()
                 .position(|p| p.name == owner.owner);
-            let understands = |p: &Peer| p.understands_unreached;
+            let understands = |p: &Peer| p.understands_extensions;
             let Some(peer) = peer.filter(|_| self.peers.get(&owner.owner).is_some_and(understands))
             else {
                 continue;
--- a/src/region.rs
+++ b/src/region.rs
@@ -5,6 +5,7 @@
 //! reports alone, and a task that may be on a machine stays there until that
 //! machine says otherwise or is provably empty.
 
+mod boots;
 mod failures;
 mod gangs;
 mod jobs;
@@ -16,6 +17,7 @@
 mod recovery;
 mod reports;
 
+pub use boots::LEAST_OVERDUE;
 pub use machines::LEAST_AGE;
 pub use placing::{latest_start, narrow_type, waiting_spans, NarrowMemory};
 
@@ -35,6 +37,7 @@
 use crate::settings::{Amount, Settings};
 use crate::units::{stretch, to_secs, Micros, MILLI, SECOND};
 use crate::workers::{Command, End, OnMachine, Report, MAX_COMMANDS};
+use boots::BootHistory;
 use failures::{JobFailures, MachineFailures};
 use list::{fits, GroupKey, List, Listed, Room};
 use machines::Ear;
@@ -439,6 +442,8 @@
     /// Tasks meant for a machine that has not reported since, oldest first.
     unsent: BTreeSet<(Micros, JobId, u32)>,
     measured: Measured,
+    /// How machines of each kind come up.
+    boots: BTreeMap<GroupKey, BootHistory>,
     hold: Option<Hold>,
     shares: BTreeMap<Rc<str>, Share>,
     seq: u64,
@@ -488,6 +493,7 @@
             unwritten: BTreeSet::new(),
             unsent: BTreeSet::new(),
             measured: Measured::default(),
+            boots: BTreeMap::new(),
             hold: None,
             shares: BTreeMap::new(),
             seq: 0,
--- /dev/null
+++ b/src/region/boots.rs
@@ -0,0 +1,125 @@
+//! How machines of a kind come up: which are overdue, and how long those took that came.
+
+use std::collections::VecDeque;
+
+use super::*;
+use crate::mesh::BootLine;
+
+/// How long an arrival speaks for its kind.
+const ARRIVAL_VALID: Micros = 120 * SECOND;
+/// Most arrivals that are remembered of a kind; more would say the same.
+const MAX_ARRIVALS: usize = 64;
+/// So many overdue machines, and more than have come up lately, are a trouble of their
+/// kind and not of a machine.
+pub const LEAST_OVERDUE: u32 = 2;
+/// For how many times its boot time a machine is waited for while its whole kind boots
+/// badly, and at most how long.
+const BAD_BOOTS: u64 = 12;
+const MAX_PATIENCE: Micros = 300 * SECOND;
+
+/// What was seen of the boots of one kind of machine.
+#[derive(Debug, Default)]
+pub(super) struct BootHistory {
+    overdue: BTreeMap<Rc<str>, Micros>,
+    arrivals: VecDeque<Micros>,
+}
+
+impl BootHistory {
+    fn expire(&mut self, now: Micros) {
+        let old = |at: &Micros| now > *at + ARRIVAL_VALID;
+        while self.arrivals.front().is_some_and(old) {
+            self.arrivals.pop_front();
+        }
+    }
+
+    /// Whether the kind as a whole comes up late or never.
+    fn in_trouble(&self) -> bool {
+        let overdue = self.overdue.len() as u32;
+        overdue >= LEAST_OVERDUE && overdue > self.arrivals.len() as u32
+    }
+}
+
+impl Region {
+    fn boot_history(&mut self, group: &GroupKey, now: Micros) -> &mut BootHistory {
+        let history = self.boots.entry(group.clone()).or_default();
+        history.expire(now);
+        history
+    }
+
+    /// A machine that was rented for us has come up.
+    pub(super) fn note_arrival(&mut self, name: &Rc<str>, now: Micros) {
+        let Some(group) = self.machines.get(name).map(|m| m.group.clone()) else {
+            return;
+        };
+        let history = self.boot_history(&group, now);
+        history.overdue.remove(name);
+        if history.arrivals.len() == MAX_ARRIVALS {
+            history.arrivals.pop_front();
+        }
+        history.arrivals.push_back(now);
+    }
+
+    /// A machine should have come up by now.
+    pub(super) fn note_overdue(&mut self, name: &Rc<str>, now: Micros) {
+        let Some(group) = self.machines.get(name).map(|m| m.group.clone()) else {
+            return;
+        };
+        let history = self.boot_history(&group, now);
+        let was = history.in_trouble();
+        history.overdue.entry(name.clone()).or_insert(now);
+        if !was && history.in_trouble() {
+            log::info!(
+                "region: {}: {} {} in {}: overdue, its kind comes up badly",
+                self.name,
+                self.boots[&group].overdue.len(),
+                group.0,
+                group.1
+            );
+        }
+    }
+
+    /// A machine is no more waited for.
+    pub(super) fn forget_boot(&mut self, name: &str) {
+        let group = self.machines.get(name).map(|m| m.group.clone());
+        if let Some(history) = group.and_then(|g| self.boots.get_mut(&g)) {
+            history.overdue.remove(name);
+        }
+    }
+
+    /// Whether machines of this kind come up late or never just now.
+    pub(super) fn boots_badly(&self, group: &GroupKey) -> bool {
+        !is_left_out(Guard::BootTrouble) && self.boots.get(group).is_some_and(|h| h.in_trouble())
+    }
+
+    /// How long a machine may take to come up before it is returned. While its whole kind
+    /// boots badly a new one would be no sooner, so it is waited for longer.
+    pub(super) fn boot_patience(&self, m: &Machine) -> Micros {
+        let usual = 3 * m.boot + 30 * SECOND;
+        if self.boots_badly(&m.group) {
+            usual.max((BAD_BOOTS * m.boot).min(MAX_PATIENCE))
+        } else {
+            usual
+        }
+    }
+
+    /// What the leader is told of boots here.
+    pub fn boot_lines(&mut self, now: Micros) -> Vec<BootLine> {
+        let mut lines = Vec::new();
+        for ((flavor, zone, spot), history) in &mut self.boots {
+            history.expire(now);
+            if history.overdue.is_empty() {
+                continue;
+            }
+            let first = history.overdue.values().min().copied().unwrap_or(now);
+            lines.push(BootLine {
+                flavor: flavor.to_string(),
+                zone: zone.to_string(),
+                spot: *spot,
+                overdue: history.overdue.len() as u32,
+                arrived: history.arrivals.len() as u32,
+                since_us: now - first,
+            });
+        }
+        lines
+    }
+}
--- a/src/region/machines.rs
+++ b/src/region/machines.rs
@@ -15,6 +15,8 @@
 const UNHEEDED: u32 = 2;
 /// How long machines beyond what is likely to be asked for next stand idle.
 const SPARE_PATIENCE: Micros = 5 * SECOND;
+/// How long a machine that only some jobs fit on stands idle while its kind boots badly.
+const MAX_IDLE: Micros = 300 * SECOND;
 /// How often a machine is found deaf before it is returned.
 const DEAF_TIMES: u32 = 4;
 
@@ -141,6 +143,7 @@
             return;
         }
         self.clear_machine(name, v);
+        self.forget_boot(name);
         self.list_as(name, Listed::Out);
         if let Some((key, m)) = self.machines.remove_entry(name) {
             self.heard.remove(&(m.heard_at, key.clone()));
@@ -654,15 +657,23 @@
             Standing::Expected => {
                 // Late: whoever rents counts on it no more; but it may yet come.
                 let late = m.dealt_at + m.boot * 8 / 5 + 4 * SECOND;
-                let last = m.dealt_at + 3 * m.boot + 30 * SECOND;
+                let dealt = m.dealt_at;
                 if m.rec.opened && !coming {
                     return Some((v.now + SECOND).max((m.heard_at + patience).min(silent)));
                 }
+                m.late = v.now > late;
+                if v.now > late {
+                    self.note_overdue(name, v.now);
+                }
+                let last = dealt + self.boot_patience(self.machines.get(name)?);
                 if v.now > last {
                     return self.give_back(name, "never came up", release);
                 }
-                m.late = v.now > late;
-                return Some(if v.now > late { last } else { late });
+                return Some(if v.now > late {
+                    last.min(v.now + 10 * SECOND)
+                } else {
+                    late
+                });
             }
             Standing::Live => m.late = false,
         }
@@ -686,7 +697,10 @@
             (m.boot as f64 * self.cheaper(&m.group, v)) as Micros
         });
         let group = self.list.groups.get(&m.group).filter(|g| g.kept.is_some());
-        if group.is_some_and(|g| g.idle() > self.narrow.largest(&m.rec.flavor) as usize) {
+        if group.is_some() && self.boots_badly(&m.group) {
+            // What is up can't be replaced just now.
+            patience = patience.max(MAX_IDLE);
+        } else if group.is_some_and(|g| g.idle() > self.narrow.largest(&m.rec.flavor) as usize) {
             patience = patience.min(SPARE_PATIENCE);
         }
         let idle = m.idle_since.max(m.dealt_at) + patience;
@@ -747,6 +761,7 @@
         why: &'static str,
         release: &mut Vec<String>,
     ) -> Option<Micros> {
+        self.forget_boot(name);
         let m = self.machines.get_mut(name)?;
         let why = *m.closed.get_or_insert(why);
         log::info!("region: {name}: returned, {why}");
--- a/src/region/placing.rs
+++ b/src/region/placing.rs
@@ -8,6 +8,8 @@
 /// The order of waiting jobs, least first; see [`Region::order_key`].
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct OrderKey {
+    /// Its turn has not come for so long that one task of it goes first.
+    pub turn: std::cmp::Reverse<bool>,
     /// It failed on several machines without a result: after all others.
     suspect: bool,
     /// It goes beyond its team's guarantee.
@@ -229,7 +231,16 @@
             .get(&s.team)
             .is_some_and(|last| (s.submitted, &**id) <= (last.0, last.1.as_str()));
         let suspect = self.jobs.get(id).is_some_and(|j| j.failures.is_suspect());
+        // Guards against work of low priority that never begins while higher priority keeps
+        // coming: once it is old enough a task starts now and then.
+        let turn_in = self.jobs.get(id).and_then(|j| {
+            let never_served = j.out.is_empty() && s.kind == Kind::Array && !suspect;
+            let by_age = (s.submitted + PATIENCE).saturating_sub(v.wall);
+            let by_last = (j.last_assigned + SHARE_HOLD_LIMIT).saturating_sub(v.now);
+            never_served.then_some(by_age.max(by_last))
+        });
         let key = |past_aims: bool, relaxed: bool, weight: u64| OrderKey {
+            turn: std::cmp::Reverse(turn_in == Some(0)),
             suspect,
             beyond_guarantee: !guaranteed,
             priority: std::cmp::Reverse(s.priority),
@@ -244,7 +255,8 @@
         let together = s.kind == Kind::Gang && s.tasks > 1;
         let aged = s.submitted + PATIENCE;
         if together || v.wall >= aged {
-            return (key(false, false, s.submitted), None);
+            let change = turn_in.filter(|span| *span > 0);
+            return (key(false, false, s.submitted), change.map(|c| c + MILLI));
         }
         let due = latest_start(s, v);
         let size = s.estimate.saturating_mul(s.tasks.into()) / 1000 * (s.cpus / 1000).max(1);
@@ -651,8 +663,14 @@
                 }
                 return;
             }
+            let one_only = job.key.as_ref().is_some_and(|k| k.turn.0);
             let attempt = self.next_attempt();
             self.transition(id, n, Place::Assigned, Some((&name, attempt)), v.now);
+            if one_only {
+                // The rest of it takes its place in the order again.
+                self.dirty_jobs.insert(id.clone());
+                return;
+            }
         }
     }
 
--- a/src/region/reports.rs
+++ b/src/region/reports.rs
@@ -32,10 +32,14 @@
             return self.greet(&name, v);
         }
         let first = m.standing != Standing::Live;
+        let booted = m.order == (0, 0) && m.dealt_at > self.taken_at;
         let sent = m.tasks.values().any(|h| h.place == Place::Sent);
         let rose = self.listen(&name, r, v);
         if first {
             log::info!("region: {name}: live in {}", self.name);
+            if booted {
+                self.note_arrival(&name, v.now);
+            }
             self.awaited.remove(&name);
             self.dirty_machines.insert(name.clone());
         }
--- a/src/region/tests.rs
+++ b/src/region/tests.rs
@@ -421,7 +421,19 @@
         cpus: u64,
         now: Micros,
     ) {
-        let v = json!({"st":"o","b":[[0,tasks,"t-0"]],"j":{"c":"x","t":team,"k":kind,"r":"1","n":tasks,
+        self.submit_with(id, team, (kind, "1"), tasks, cpus, now);
+    }
+
+    fn submit_with(
+        &mut self,
+        id: &str,
+        team: &str,
+        (kind, priority): (&str, &str),
+        tasks: u32,
+        cpus: u64,
+        now: Micros,
+    ) {
+        let v = json!({"st":"o","b":[[0,tasks,"t-0"]],"j":{"c":"x","t":team,"k":kind,"r":priority,"n":tasks,
             "u":cpus,"m":1_000_000,"i":"img","e":4_000_000,"a":now}});
         self.f.put(&format!("st/job/{id}"), v);
         self.r.on_job(id, &self.f.view(now), false);
@@ -661,3 +673,26 @@
     let shares = |e: &Effect| matches!(e, Effect::Commit(_, _, Purpose::Share(_)));
     assert!(!r.take_effects().iter().any(shares));
 }
+
+/// Work of low priority begins within four minutes, a task at a time, though work of higher
+/// priority never leaves a machine free; that work goes on being served.
+#[test]
+fn low_priority_begins_under_lasting_overload() {
+    let mut shop = Shop::new(3);
+    shop.submit_with("req-1", "red", ("a", "0"), 4, 2_000_000, 2 * SECOND);
+    let mut began = None;
+    for s in 3..300u64 {
+        let now = s * SECOND;
+        for i in 0..3 {
+            let id = format!("req-{}", s * 10 + i);
+            shop.submit(&id, "a", "blue", 1, 2_000_000, now);
+        }
+        shop.second(now, None);
+        if began.is_none() && shop.starts.contains_key("req-1") {
+            began = Some(s);
+        }
+    }
+    let began = began.expect("never began");
+    assert!((150..240).contains(&began), "began at {began} s");
+    assert!(shop.starts["req-1"] <= 4, "{} starts", shop.starts["req-1"]);
+}
--- a/src/sim/partial_failures.rs
+++ b/src/sim/partial_failures.rs
@@ -185,3 +185,30 @@
         }
     }
 }
+
+/// While machines come up late or never, what is rented beyond the work is bounded, and all
+/// work still ends.
+#[test]
+fn machines_that_come_up_badly_are_rented_by_probes() {
+    let mut rented = [0, 0];
+    for seed in 1..=12 {
+        let p = Plan {
+            seed,
+            faults: vec![(S, Fault::BadBoots(150 * S))],
+            jobs: 24,
+            end: 240 * S,
+            load: Load::Mixed,
+        };
+        for (i, guard) in [None, Some(Guard::BootTrouble)].into_iter().enumerate() {
+            let w = play(&p, guard);
+            assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
+            assert!(w.seen.bad_boots > 0, "seed {seed}: none came up badly");
+            assert!(w.left_open().is_empty(), "seed {seed}: {:?}", w.left_open());
+            rented[i] += w.next_machine;
+        }
+    }
+    assert!(
+        rented[0] * 10 < rented[1] * 9,
+        "rented with and without: {rented:?}"
+    );
+}
