No fixed limit below 4,000 machines: connections, the cloud's list, watches too large to read

The cloud's list was cut at 5,000 entries without a word, 200 a page: now 50,000, logged, 500 a page. A watch's answer over 8 MiB was asked for again for ever: now all is read by pages.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -137,6 +137,12 @@
     },
 }
 
+/// Machines of one page of the cloud's list: the most that it gives.
+const LIST_PAGE: usize = 500;
+/// Most machines that are read of the list: beyond it machines that nobody knows are not
+/// found. Some 100 bytes each, for as long as a list is read.
+const MAX_LISTED: usize = 50_000;
+
 /// Calls to the cloud, one at a time and paced under its rate. Renting and
 /// returning are repeated unchanged until the answer is definite: a repeated
 /// request name rents nothing more, and a machine once asked back never serves again.
@@ -289,8 +295,8 @@
             Ask::List { from, .. } => (
                 "GET",
                 match from {
-                    Some(f) => format!("/machines?from={f}&page=200"),
-                    None => "/machines?page=200".to_owned(),
+                    Some(f) => format!("/machines?from={f}&page={LIST_PAGE}"),
+                    None => format!("/machines?page={LIST_PAGE}"),
                 },
                 Vec::new(),
             ),
@@ -401,7 +407,10 @@
                     failed: m.stage == "failed",
                     age: units::secs(m.held),
                 }));
-                if l.more && got.len() < 5000 {
+                if l.more && got.len() >= MAX_LISTED {
+                    log::error!("fleet: the cloud lists more than {MAX_LISTED} machines");
+                }
+                if l.more && got.len() < MAX_LISTED {
                     let from = got.last().map(|m| m.name.clone());
                     self.queue.push_front(Ask::List { from, got });
                     return Some(Vec::new());
--- a/src/reactor.rs
+++ b/src/reactor.rs
@@ -35,6 +35,9 @@
     /// Sent in part or whole: may have been executed, or may be later.
     #[error("no answer")]
     NoAnswer,
+    /// Answered with more than is read at once: surely executed, if it was a read.
+    #[error("answer too large")]
+    TooLarge,
 }
 
 /// What the network did.
@@ -154,6 +157,8 @@
 const IDLE_SERVED: Micros = 90 * SECOND;
 const IDLE_CALL: Micros = 30 * SECOND;
 const MESH_SILENCE: Micros = 15 * SECOND;
+/// Most connections that are looked at for an idle one.
+const LOOK_FOR_IDLE: usize = 64;
 const DIAL: Micros = 2 * SECOND;
 const MAX_FRAME: usize = 1024 * 1024;
 const QUEUE_PER_DEST: usize = 256;
@@ -295,7 +300,7 @@
             let listener = if front { &self.front } else { &self.mesh };
             match listener.accept() {
                 Ok((stream, _)) => {
-                    if front && self.served >= self.limits.served {
+                    if front && self.served >= self.limits.served && !self.close_idle_served() {
                         log::debug!("reactor: front: connection refused, {} open", self.served);
                         continue;
                     }
@@ -322,6 +327,27 @@
         }
     }
 
+    /// Closes the connection of a user or worker that has been idle the longest, to make
+    /// room for another. Guards against workers that are never heard, for as long as there
+    /// are more of them than connections. Whether there was one.
+    fn close_idle_served(&mut self) -> bool {
+        // The order of deadlines is that of the last use; others stand between.
+        let idle = self.deadlines.iter().take(LOOK_FOR_IDLE).find(|d| {
+            let conn = self.conns[d.1].as_ref();
+            conn.is_some_and(|c| matches!(c.role, Role::Reading) && c.rbuf.is_empty())
+        });
+        let Some(&(_, slot, _)) = idle else {
+            return false;
+        };
+        self.drop_conn(slot);
+        true
+    }
+
+    /// Whether connections are so scarce that each is to carry one request only.
+    fn is_crowded(&self) -> bool {
+        self.served * 8 > self.limits.served * 7
+    }
+
     fn insert(
         &mut self,
         stream: TcpStream,
@@ -632,6 +658,11 @@
                     }
                     Err(e) => {
                         log::info!("reactor: answer from {}: {e}", self.dests[dest].host);
+                        if e == http::HttpError::BodyTooLong {
+                            let end = NetEvent::Response(id, Err(CallError::TooLarge));
+                            self.out.push_back(end);
+                            c.role = Role::Idle { dest };
+                        }
                         return self.drop_conn(slot);
                     }
                 },
@@ -699,6 +730,7 @@
 
     fn respond(&mut self, id: ConnId, mut r: Response) {
         let now = self.now;
+        let crowded = self.is_crowded();
         let Some(c) = self
             .conns
             .get_mut(id.slot)
@@ -710,7 +742,7 @@
         let Role::Answering { close } = c.role else {
             return;
         };
-        r.close |= close;
+        r.close |= close || crowded;
         http::write_response(&mut c.wbuf, &r);
         c.role = if r.close {
             Role::Closing
@@ -818,3 +850,6 @@
     let ev = Event::new(key, true, write);
     unsafe { poller.add_with_mode(source, ev, PollMode::Level) }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/registry/commits.rs
+++ b/src/registry/commits.rs
@@ -159,7 +159,7 @@
         }
         // 429 and 503 were not executed; silence may have been. Either way the
         // same conditions go out again.
-        c.unsure |= matches!(result, Err(CallError::NoAnswer));
+        c.unsure |= matches!(result, Err(CallError::NoAnswer | CallError::TooLarge));
         c.not_before = now + 100 * MILLI + fastrand::u64(0..150 * MILLI);
         self.queues[c.urgency as usize].push_front(c);
     }
--- a/src/registry/reads.rs
+++ b/src/registry/reads.rs
@@ -147,6 +147,13 @@
     ) -> bool {
         let r = match result {
             Ok(r) => r,
+            Err(CallError::TooLarge) => {
+                // Guards against a controller that was away while so much changed that the
+                // answer is never read: pages are bounded.
+                log::info!("registry: watch: too many changes at once, reading all again");
+                self.load = Load::Needed { not_before: now };
+                return false;
+            }
             Err(e) => {
                 log::debug!("registry: watch: {e}");
                 return false;
--- a/src/registry/tests.rs
+++ b/src/registry/tests.rs
@@ -60,3 +60,22 @@
         "{other}"
     );
 }
+
+/// An answer that is too large to read is asked for again by pages, which are bounded.
+#[test]
+fn a_watch_that_is_too_large_is_read_by_pages() {
+    let settings = Settings::parse("f", &crate::settings::tests::sample()).unwrap();
+    let mut registry = Registry::new(&settings);
+    registry.load = Load::Done;
+    let mut events = Vec::new();
+    let (calls, _) = registry.pump(SECOND, &mut events);
+    let watch = calls
+        .iter()
+        .find(|c| c.target.starts_with("/follow"))
+        .unwrap();
+    let end = Err(CallError::TooLarge);
+    registry.on_response(watch.op, end, SECOND, &mut events);
+    assert!(!registry.loaded());
+    let (calls, _) = registry.pump(2 * SECOND, &mut events);
+    assert!(calls.iter().any(|c| c.target.starts_with("/store")));
+}
--- a/src/sim.rs
+++ b/src/sim.rs
@@ -310,6 +310,8 @@
     probes: BTreeMap<u32, (u16, Value)>,
     /// Which controller answered a user's cancellation last.
     cancelled_by: usize,
+    /// Most machines that the cloud rents at a time.
+    capacity: usize,
     /// Changes a transaction and bytes a value that the state service takes.
     ops_most: usize,
     value_most: usize,
@@ -435,6 +437,7 @@
             waits: BTreeMap::new(),
             probes: BTreeMap::new(),
             cancelled_by: 0,
+            capacity: 8,
             ops_most: 12,
             value_most: 4096,
         };
--- a/src/sim/cloud.rs
+++ b/src/sim/cloud.rs
@@ -31,13 +31,13 @@
                 if let Some(names) = self.tenancies.get(&tenancy) {
                     return reply(200, json!({ "tillers": names }));
                 }
-                if self.workers.len() >= 8 {
+                if self.workers.len() >= self.capacity {
                     return reply(503, json!({"error": "no capacity"}));
                 }
                 let n = body["count"]
                     .as_u64()
                     .unwrap()
-                    .min(8 - self.workers.len() as u64);
+                    .min((self.capacity - self.workers.len()) as u64);
                 let mut names = Vec::new();
                 for _ in 0..n {
                     let name = format!("m-{:06}", self.next_machine);
