--- a/src/node.rs
+++ b/src/node.rs
@@ -19,6 +19,7 @@
     Authority, GrantName, Outcome, Registry, RegistryEvent, Txn, Urgency, FRESH_FOR,
 };
 use crate::settings::Settings;
+use crate::status::conditions::QuestionRate;
 use crate::status::{self as signals, Aims};
 use crate::units::{Micros, MILLI, SECOND};
 use crate::workers;
@@ -137,6 +138,7 @@
     /// When to say next that messages can't be read.
     unread_next: Micros,
     aims: Aims,
+    question_rate: QuestionRate,
     aims_next: Micros,
     /// Jobs that waited for others without a record when last looked at.
     missing_needs: usize,
@@ -252,6 +254,7 @@
             mesh_count: 0,
             unread_next: 0,
             aims: Aims::new(&settings.objectives, &settings.operator),
+            question_rate: QuestionRate::default(),
             aims_next: 0,
             missing_needs: 0,
             now: 0,
--- a/src/node/reachability.rs
+++ b/src/node/reachability.rs
@@ -9,6 +9,7 @@
 //! machine.
 
 use super::*;
+use crate::status::conditions::Condition;
 
 /// For how long a worker that turned to us counts.
 const REDIRECT_WINDOW: Micros = 12 * SECOND;
@@ -25,11 +26,21 @@
 /// A region with fewer machines is not released: too little to judge by.
 const LEAST_MACHINES: usize = 2;
 
+/// A worker that turns to us for longer than this didn't find its owner the first time.
+const LASTING: Micros = 2 * SECOND;
+
+/// When a worker turned to us.
+#[derive(Debug, Clone, Copy)]
+struct Redirect {
+    first: Micros,
+    last: Micros,
+}
+
 /// Workers of other owners' regions that turned to this controller.
 #[derive(Debug, Default)]
 pub(super) struct Redirects {
-    /// By region: when each machine did last.
-    seen: BTreeMap<String, BTreeMap<String, Micros>>,
+    /// By region and machine.
+    seen: BTreeMap<String, BTreeMap<String, Redirect>>,
 }
 
 impl Redirects {
@@ -37,13 +48,17 @@
     /// no more of them than of these.
     pub fn note(&mut self, region: &str, machine: &str, now: Micros) {
         let machines = self.seen.entry(region.to_owned()).or_default();
-        machines.insert(machine.to_owned(), now);
+        let first = Redirect {
+            first: now,
+            last: now,
+        };
+        machines.entry(machine.to_owned()).or_insert(first).last = now;
     }
 
     /// Forgets what is older than the window.
     fn expire(&mut self, now: Micros) {
         for machines in self.seen.values_mut() {
-            machines.retain(|_, at| now < *at + REDIRECT_WINDOW);
+            machines.retain(|_, redirect| now < redirect.last + REDIRECT_WINDOW);
         }
         self.seen.retain(|_, machines| !machines.is_empty());
     }
@@ -52,6 +67,13 @@
     fn count(&self, region: &str) -> usize {
         self.seen.get(region).map_or(0, BTreeMap::len)
     }
+
+    /// How many of these did so again after they were told of their owner.
+    fn lasting(&self, region: &str) -> usize {
+        let machines = self.seen.get(region).into_iter().flatten();
+        let lasts = |r: &Redirect| r.last > r.first + LASTING;
+        machines.filter(|(_, r)| lasts(r)).count()
+    }
 }
 
 /// What a peer told of our region's machines.
@@ -99,6 +121,19 @@
         count >= LEAST_MACHINES && count * 2 >= machines as usize
     }
 
+    /// Owners whose workers mostly turn to this controller.
+    pub(super) fn unreached_owners(&self) -> Vec<Condition> {
+        let regions = self.redirects.seen.keys();
+        let asked = regions.filter(|r| !self.regions.contains_key(*r) && self.is_asked_by_most(r));
+        let conditions = asked.map(|r| Condition::OwnerUnreached {
+            region: r.clone(),
+            machines: self.redirects.lasting(r),
+        });
+        conditions
+            .filter(|c| matches!(c, Condition::OwnerUnreached { machines, .. } if *machines >= LEAST_MACHINES))
+            .collect()
+    }
+
     /// Tells owners how many of their machines turn to us instead.
     pub(super) fn tell_unreached(&mut self) {
         if self.now < self.tell_unreached_next {
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -1,6 +1,7 @@
 //! What operators are told.
 
 use super::*;
+use crate::status::conditions::Condition;
 
 impl<N: Net> Node<N> {
     /// What is wrong just now, the gravest first.
@@ -15,6 +16,12 @@
             "cloud down"
         } else if self.leader.as_ref().is_some_and(|l| l.refused(self.now)) {
             "no capacity"
+        } else if self
+            .leader
+            .as_ref()
+            .is_some_and(|l| !l.boots.in_trouble().is_empty())
+        {
+            "machines come up late or not at all"
         } else if self.regions.values().any(Region::short_of_quota) {
             "quota"
         } else {
@@ -51,7 +58,9 @@
         let done = |id: &str| replica.stage(id) == Some(Stage::Done);
         let is_open = |id: &str| replica.stage(id) == Some(Stage::Open);
         let wall = self.reactor.wall();
-        let signals = self.aims.look(open, done, is_open, wall, self.cause());
+        let mut signals = self.aims.look(open, done, is_open, wall, self.cause());
+        let conditions = self.conditions();
+        signals.extend(self.aims.look_at_conditions(conditions, self.now));
         if self.leader.is_some() {
             for s in signals {
                 let level = if s.is_warning() {
@@ -65,6 +74,38 @@
         self.look_at_missing_needs();
     }
 
+    /// What operators should know of just now, as far as this controller sees it.
+    fn conditions(&mut self) -> Vec<Condition> {
+        let mut found: Vec<Condition> = self.question_rate.look(self.now).into_iter().collect();
+        if let Some(l) = &self.leader {
+            found.extend(l.boots.in_trouble().into_iter().map(|(offer, boots)| {
+                Condition::BadBoots {
+                    flavor: offer.flavor,
+                    zone: offer.zone,
+                    spot: offer.spot,
+                    overdue: boots.overdue,
+                    since: boots.since,
+                }
+            }));
+        }
+        found.extend(self.unreached_owners());
+        let waits = self.reports.values().flat_map(|(r, _)| &r.waits);
+        for w in waits.filter(|w| w.stuck) {
+            let record = self.registry.replica.jobs.get(&w.job).map(|r| &r.value);
+            let Some(record) = record.filter(|r| r.joint.is_none()) else {
+                continue;
+            };
+            if let Some(spec) = record.open() {
+                found.push(Condition::JobFails {
+                    job: w.job.clone(),
+                    team: spec.team.clone(),
+                    class: spec.class.clone(),
+                });
+            }
+        }
+        found
+    }
+
     /// Says once when jobs wait for others that have no record, as only a damaged state
     /// service could bring about. They wait on, and nothing of them starts.
     pub(super) fn look_at_missing_needs(&mut self) {
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -20,13 +20,12 @@
             }
             ("POST", ["v1", "report"]) => self.on_report(conn, &req.body),
             ("POST", ["work"]) => self.on_submit(conn, &req.body),
-            ("GET", ["work", id]) => self.on_ask(
-                conn,
-                Ask::State {
-                    id: (*id).to_owned(),
-                    submitted: false,
-                },
-            ),
+            ("GET", ["work", id]) => {
+                self.question_rate.note();
+                let id = (*id).to_owned();
+                let submitted = false;
+                self.on_ask(conn, Ask::State { id, submitted });
+            }
             ("POST", ["work", id, "abort"]) => self.on_ask(
                 conn,
                 Ask::Cancel {
--- a/src/sim.rs
+++ b/src/sim.rs
@@ -22,6 +22,7 @@
 mod invariants;
 mod partial_failures;
 mod pipelines;
+mod scale;
 mod scenarios;
 mod state_service;
 mod users;
--- a/src/status.rs
+++ b/src/status.rs
@@ -2,6 +2,7 @@
 //! warning when an aim falls behind, one line when it is met again, and the
 //! status page that `salttiller status` asks for.
 
+pub mod conditions;
 pub mod pipelines;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -12,6 +13,7 @@
 use crate::registry::pipelines::PipelineEnd;
 use crate::settings::{Objective, Operator};
 use crate::units::{to_secs, Micros, SECOND};
+use conditions::{Condition, ConditionWatch};
 use pipelines::{expected_end, PipelineWatch, Step};
 
 /// What operators are told.
@@ -25,12 +27,19 @@
     PipelineBehind(String),
     /// It will be in time after all.
     PipelineInTime(String),
+    /// Something that operators should know of.
+    Condition(String),
+    /// It is over.
+    ConditionOver(String),
 }
 
 impl Signal {
     /// Whether somebody should look at it.
     pub fn is_warning(&self) -> bool {
-        matches!(self, Signal::AimBehind(_) | Signal::PipelineBehind(_))
+        matches!(
+            self,
+            Signal::AimBehind(_) | Signal::PipelineBehind(_) | Signal::Condition(_)
+        )
     }
 }
 
@@ -41,6 +50,8 @@
             Signal::AimMetAgain(what) => write!(f, "aim met again: {what}"),
             Signal::PipelineBehind(what) => write!(f, "pipeline behind: {what}"),
             Signal::PipelineInTime(what) => write!(f, "pipeline in time again: {what}"),
+            Signal::Condition(what) => write!(f, "{what}"),
+            Signal::ConditionOver(what) => write!(f, "over: {what}"),
         }
     }
 }
@@ -132,6 +143,7 @@
     margin: f64,
     signals: VecDeque<String>,
     pipelines: PipelineWatch,
+    conditions: ConditionWatch,
 }
 
 const SLICES: u64 = 10;
@@ -161,6 +173,7 @@
             margin: op.alert_margin,
             signals: VecDeque::new(),
             pipelines: PipelineWatch::new(op.alert_margin),
+            conditions: ConditionWatch::default(),
         }
     }
 
@@ -254,13 +267,25 @@
             }
         }
         out.extend(self.pipelines.look(steps.into_iter(), is_open, cause));
-        for s in &out {
+        self.keep(&out);
+        out
+    }
+
+    /// Takes a look at the conditions that there are just now.
+    pub fn look_at_conditions(&mut self, current: Vec<Condition>, now: Micros) -> Vec<Signal> {
+        let signals = self.conditions.look(current, now);
+        self.keep(&signals);
+        signals
+    }
+
+    /// Keeps signals for the status page.
+    fn keep(&mut self, signals: &[Signal]) {
+        for s in signals {
             if self.signals.len() == SIGNALS_KEPT {
                 self.signals.pop_front();
             }
             self.signals.push_back(s.to_string());
         }
-        out
     }
 
     /// Fills in the aims' part of the status page.
