--- a/src/leader.rs
+++ b/src/leader.rs
@@ -223,10 +223,10 @@
 
 impl Leader {
     /// A term that begins with the leader's record at this revision.
-    pub fn new(mark: u64, v: &View<'_>) -> Self {
+    pub fn new(mark: u64, view: &View<'_>) -> Self {
         let mut l = Leader {
             mark,
-            began: v.now,
+            began: view.now,
             counter: 0,
             writing: BTreeSet::new(),
             coming: BTreeMap::new(),
@@ -238,20 +238,20 @@
             odd: BTreeMap::new(),
             rooms: Vec::new(),
             next_plan: 0,
-            next_list: v.now + 20 * SECOND,
+            next_list: view.now + 20 * SECOND,
             last_list: 0,
             next_flavors: 0,
-            next_close: v.now + 5 * SECOND,
+            next_close: view.now + 5 * SECOND,
             usual: 0.0,
-            inflow: Inflow::new(v.now),
+            inflow: Inflow::new(view.now),
             truth: 1.0,
             target: 0.0,
             keep: 0.0,
             job_size: 0.0,
             out: Vec::new(),
         };
-        for (_, _, s) in v.replica.open_jobs() {
-            l.narrow.note(s, v.replica, v.now);
+        for (_, _, s) in view.replica.open_jobs() {
+            l.narrow.note(s, view.replica, view.now);
         }
         l
     }
@@ -262,13 +262,13 @@
         &mut self,
         changes: Vec<(Key, u64, serde_json::Value)>,
         urgency: Urgency,
-        v: &View<'_>,
+        view: &View<'_>,
     ) {
         let fresh: Vec<_> = changes
             .into_iter()
             .filter(|(k, ..)| !self.writing.contains(k))
             .collect();
-        for chunk in fresh.chunks(v.settings.txn_ops.min(8)) {
+        for chunk in fresh.chunks(view.settings.txn_ops.min(8)) {
             let mut when = vec![(Key::Leader, self.mark)];
             when.extend(chunk.iter().map(|(k, m, _)| (k.clone(), *m)));
             let keys: Vec<Key> = chunk.iter().map(|(k, ..)| k.clone()).collect();
@@ -317,29 +317,29 @@
     }
 
     /// Regular work. Returns when to look again.
-    pub fn tick(&mut self, v: &View<'_>, reports: &Reports, fleet: &mut Fleet) -> Micros {
-        self.bind(v);
-        if v.now >= self.next_flavors {
+    pub fn tick(&mut self, view: &View<'_>, reports: &Reports, fleet: &mut Fleet) -> Micros {
+        self.bind(view);
+        if view.now >= self.next_flavors {
             fleet.ask_flavors();
-            let known = !v.replica.flavors.is_empty();
-            self.next_flavors = v.now + if known { 60 * SECOND } else { SECOND };
+            let known = !view.replica.flavors.is_empty();
+            self.next_flavors = view.now + if known { 60 * SECOND } else { SECOND };
         }
-        if v.now >= self.next_list {
-            self.next_list = v.now + 30 * SECOND;
-            self.last_list = v.now;
+        if view.now >= self.next_list {
+            self.next_list = view.now + 30 * SECOND;
+            self.last_list = view.now;
             fleet.ask_list();
         }
-        if v.now >= self.next_plan {
-            self.next_plan = v.now + 400 * MILLI;
-            self.plan(v, reports, fleet);
+        if view.now >= self.next_plan {
+            self.next_plan = view.now + 400 * MILLI;
+            self.plan(view, reports, fleet);
         }
         self.next_plan.min(self.next_list)
     }
 
-    fn look_at_rooms(&mut self, v: &View<'_>, reports: &Reports, fleet: &Fleet) {
+    fn look_at_rooms(&mut self, view: &View<'_>, reports: &Reports, fleet: &Fleet) {
         let narrow = &self.narrow;
         let room = |region: &str, flavor: &str, zone: &str, spot, free, live, n: f64| {
-            let f = &v.replica.flavors.get(flavor)?.value;
+            let f = &view.replica.flavors.get(flavor)?.value;
             let cap = (f.cpus, f.gpus, f.mem);
             Some(Room {
                 region: region.to_owned(),
@@ -349,7 +349,7 @@
                 free: if live { free } else { cap },
                 cap,
                 live,
-                kept: narrow.kept_for(flavor, v.now),
+                kept: narrow.kept_for(flavor, view.now),
                 all: n,
                 machines: n,
             })
@@ -368,7 +368,7 @@
             let told = reports
                 .get(&c.region)
                 .is_some_and(|(_, at)| c.recorded.is_some_and(|r| *at > r + 500 * MILLI));
-            !told && v.now < c.since + 30 * SECOND
+            !told && view.now < c.since + 30 * SECOND
         });
         for c in self.coming.values() {
             let o = &c.offer;
@@ -398,18 +398,18 @@
         self.rooms = rooms;
     }
 
-    fn plan(&mut self, v: &View<'_>, reports: &Reports, fleet: &mut Fleet) {
-        self.moved.retain(|_, at| v.now < *at + 2 * SECOND);
-        self.boots.expire(v.now);
-        self.look_at_rooms(v, reports, fleet);
-        self.lead_joint(v, reports);
+    fn plan(&mut self, view: &View<'_>, reports: &Reports, fleet: &mut Fleet) {
+        self.moved.retain(|_, at| view.now < *at + 2 * SECOND);
+        self.boots.expire(view.now);
+        self.look_at_rooms(view, reports, fleet);
+        self.lead_joint(view, reports);
         let mut waits: Vec<Wait> = Vec::new();
         for (r, at) in reports.values() {
-            if v.now > at + 3 * SECOND {
+            if view.now > at + 3 * SECOND {
                 continue;
             }
             for w in &r.waits {
-                let Some(rec) = v.replica.jobs.get(&w.job) else {
+                let Some(rec) = view.replica.jobs.get(&w.job) else {
                     continue;
                 };
                 let Some(spec) = rec.value.open() else {
@@ -418,26 +418,26 @@
                 if rec.value.joint.is_some() {
                     continue;
                 }
-                self.narrow.note(spec, v.replica, v.now);
+                self.narrow.note(spec, view.replica, view.now);
                 waits.push(Wait {
                     id: w.job.clone(),
                     region: r.region.clone(),
                     spec: spec.clone(),
                     count: w.waiting as u64,
                     since: w.since_us,
-                    narrow: narrow_type(spec, v.replica),
+                    narrow: narrow_type(spec, view.replica),
                     short: r.short.iter().any(|(t, _)| *t == spec.team),
                     suspect: w.stuck,
                 });
             }
         }
-        self.look_at_demand(v, &waits, reports);
-        self.close_surplus(v);
+        self.look_at_demand(view, &waits, reports);
+        self.close_surplus(view);
         let mut rooms = self.rooms.clone();
-        self.move_waiting(v, &mut waits, &mut rooms);
-        if v.now > self.began + SECOND {
+        self.move_waiting(view, &mut waits, &mut rooms);
+        if view.now > self.began + SECOND {
             waits.retain(|w| !w.suspect);
-            self.rent(v, &waits, &mut rooms, fleet);
+            self.rent(view, &waits, &mut rooms, fleet);
         }
         self.rooms = rooms;
     }
@@ -451,18 +451,18 @@
 
 /// How soon a job's waiting tasks should be under way: half of the time that
 /// its aims leave for waiting.
-fn horizon(s: &JobSpec, v: &View<'_>) -> Micros {
-    if let Some(h) = v.settings.operator.horizon {
+fn horizon(s: &JobSpec, view: &View<'_>) -> Micros {
+    if let Some(h) = view.settings.operator.horizon {
         return h;
     }
     let mut left = 120 * SECOND;
     // An aim that is out of reach, or past, is no reason to hurry.
     let mut aim = |span: Micros| {
-        if s.submitted + span > v.wall {
+        if s.submitted + span > view.wall {
             left = left.min(span);
         }
     };
-    for span in waiting_spans(s, v.settings) {
+    for span in waiting_spans(s, view.settings) {
         aim(span);
     }
     (left / 2).max(5 * SECOND)
--- a/src/leader/binding.rs
+++ b/src/leader/binding.rs
@@ -6,35 +6,35 @@
     /// Puts on record that jobs were cancelled along with those that they need. Everybody
     /// derives it from the records, so nothing hangs on when this comes: it is for the
     /// versions before 0.3, should one ever be brought back, and for the index.
-    pub(super) fn write_cancelled_upstream(&mut self, v: &View<'_>) {
+    pub(super) fn write_cancelled_upstream(&mut self, view: &View<'_>) {
         const AT_ONCE: usize = 4;
-        let ids = v.replica.pipelines.cancelled_upstream().iter();
+        let ids = view.replica.pipelines.cancelled_upstream().iter();
         let ids = ids.filter(|id| !self.writing.contains(&Key::Job((*id).clone())));
         let changes: Vec<_> = ids
             .take(AT_ONCE)
             .filter_map(|id| {
-                let r = v.replica.jobs.get(id)?;
+                let r = view.replica.jobs.get(id)?;
                 Some((Key::Job(id.clone()), r.mark, value(&r.value.cancelled())))
             })
             .collect();
         if !changes.is_empty() {
-            self.commit(changes, Urgency::Later, v);
+            self.commit(changes, Urgency::Later, view);
         }
     }
 
     /// Binds every job that is not bound yet.
-    pub fn bind(&mut self, v: &View<'_>) {
-        self.write_cancelled_upstream(v);
-        if v.replica.unbound.is_empty() {
+    pub fn bind(&mut self, view: &View<'_>) {
+        self.write_cancelled_upstream(view);
+        if view.replica.unbound.is_empty() {
             return;
         }
-        let mut unbound: Vec<_> = v
+        let mut unbound: Vec<_> = view
             .replica
             .unbound
             .iter()
             .filter(|id| !self.writing.contains(&Key::Job((*id).clone())))
             .filter_map(|id| {
-                let r = v.replica.jobs.get(id)?;
+                let r = view.replica.jobs.get(id)?;
                 Some((r.value.open()?.clone(), id, r))
             })
             .collect();
@@ -42,27 +42,27 @@
             return;
         }
         unbound.sort_by_key(|(s, id, _)| (s.submitted, (*id).clone()));
-        let mut level_one: BTreeMap<String, u32> = v
+        let mut level_one: BTreeMap<String, u32> = view
             .settings
             .regions()
             .into_iter()
             .map(|r| {
-                let n = v.replica.level_one.get(&r).copied().unwrap_or(0);
+                let n = view.replica.level_one.get(&r).copied().unwrap_or(0);
                 (r, n)
             })
             .collect();
         let mut changes = Vec::new();
         for (spec, id, rec) in unbound {
-            self.narrow.note(&spec, v.replica, v.now);
-            let narrow = narrow_type(&spec, v.replica);
+            self.narrow.note(&spec, view.replica, view.now);
+            let narrow = narrow_type(&spec, view.replica);
             if narrow.is_none() {
                 let size = spec.cpus as f64 * spec.tasks as f64;
-                let ago = v.wall.saturating_sub(spec.submitted);
+                let ago = view.wall.saturating_sub(spec.submitted);
                 self.inflow
-                    .add(size * spec.estimate as f64, v.now.saturating_sub(ago));
+                    .add(size * spec.estimate as f64, view.now.saturating_sub(ago));
                 self.job_size += (size - self.job_size) * 0.1;
             }
-            let bound = match self.joint(&spec, narrow.is_some(), v) {
+            let bound = match self.joint(&spec, narrow.is_some(), view) {
                 Some((parts, joint)) => {
                     log::info!("leader: {id}: too large for a region, over several: {parts:?}");
                     JobRecord {
@@ -72,7 +72,7 @@
                     }
                 }
                 None => {
-                    let region = self.choose_region(&spec, narrow.as_deref(), &level_one, v);
+                    let region = self.choose_region(&spec, narrow.as_deref(), &level_one, view);
                     let Some(region) = region else { continue };
                     *level_one.entry(region.clone()).or_default() += 1;
                     log::debug!("leader: {id}: bound to {region}");
@@ -85,7 +85,7 @@
             };
             changes.push((Key::Job(id.clone()), rec.mark, value(&bound)));
         }
-        self.commit(changes, Urgency::Next, v);
+        self.commit(changes, Urgency::Next, view);
     }
 
     /// How many tasks of a job a region's machines take, in the zone where they
@@ -110,7 +110,7 @@
         s: &JobSpec,
         narrow: Option<&str>,
         level_one: &BTreeMap<String, u32>,
-        v: &View<'_>,
+        view: &View<'_>,
     ) -> Option<String> {
         let is_narrow = narrow.is_some();
         let need = if keeps_together(s) { s.tasks as u64 } else { 1 };
@@ -120,9 +120,9 @@
             if self.in_region(s, r, |x| if x.live { x.takes(s, is_narrow) } else { 0 }) >= need {
                 now.insert(r.clone());
             }
-            let stock = v.replica.stock.get(r).is_some_and(|kinds| {
+            let stock = view.replica.stock.get(r).is_some_and(|kinds| {
                 kinds.keys().any(|(f, z, spot)| {
-                    v.replica
+                    view.replica
                         .flavors
                         .get(f)
                         .is_some_and(|f| s.allows(&f.value, z, *spot))
@@ -135,16 +135,16 @@
         }
         if keeps_together(s) {
             // Where the cloud would bring what it needs.
-            for o in offers(&v.replica.flavors) {
-                let f = v.replica.flavors.get(&o.flavor).map(|f| &f.value);
+            for o in offers(&view.replica.flavors) {
+                let f = view.replica.flavors.get(&o.flavor).map(|f| &f.value);
                 if f.is_some_and(|f| s.allows(f, &o.zone, o.spot))
-                    && !self.refusals.closed(&o, v.now)
+                    && !self.refusals.closed(&o, view.now)
                 {
-                    able.insert(self.region_for(&o, v));
+                    able.insert(self.region_for(&o, view));
                 }
             }
         }
-        let owned = |r: &String| v.replica.regions.contains_key(r);
+        let owned = |r: &String| view.replica.regions.contains_key(r);
         let best = |filter: &dyn Fn(&String) -> bool| {
             level_one
                 .iter()
--- a/src/leader/joint_gangs.rs
+++ b/src/leader/joint_gangs.rs
@@ -9,20 +9,20 @@
         &mut self,
         s: &JobSpec,
         narrow: bool,
-        v: &View<'_>,
+        view: &View<'_>,
     ) -> Option<(Vec<Part>, Joint)> {
-        if s.kind != Kind::Gang || s.tasks < 2 || v.now < self.began + 2 * SECOND {
+        if s.kind != Kind::Gang || s.tasks < 2 || view.now < self.began + 2 * SECOND {
             return None;
         }
-        let regions = v.settings.regions();
+        let regions = view.settings.regions();
         let n = s.tasks as u64;
         let most = |r: &Room| r.at_most(s, narrow);
         if regions.iter().any(|r| self.in_region(s, r, most) >= n) {
             return None;
         }
-        let for_rent = offers(&v.replica.flavors).into_iter().any(|o| {
-            let f = v.replica.flavors.get(&o.flavor).map(|f| &f.value);
-            f.is_some_and(|f| s.allows(f, &o.zone, o.spot)) && !self.refusals.closed(&o, v.now)
+        let for_rent = offers(&view.replica.flavors).into_iter().any(|o| {
+            let f = view.replica.flavors.get(&o.flavor).map(|f| &f.value);
+            f.is_some_and(|f| s.allows(f, &o.zone, o.spot)) && !self.refusals.closed(&o, view.now)
         });
         if for_rent {
             return None;
@@ -30,7 +30,7 @@
         let mut by_zone: BTreeMap<&str, BTreeMap<&str, u64>> = BTreeMap::new();
         for r in &self.rooms {
             let m = most(r);
-            if m > 0 && v.replica.regions.contains_key(&r.region) {
+            if m > 0 && view.replica.regions.contains_key(&r.region) {
                 let zone = by_zone.entry(&r.zone).or_default();
                 *zone.entry(&r.region).or_default() += m;
             }
@@ -86,10 +86,10 @@
     /// attempt when one failed, bound anew when a part was given back. All of it
     /// follows from the records and the regions' last reports, so that a new leader
     /// goes on where the last one ended.
-    pub(super) fn lead_joint(&mut self, v: &View<'_>, reports: &Reports) {
+    pub(super) fn lead_joint(&mut self, view: &View<'_>, reports: &Reports) {
         let mut changes = Vec::new();
-        for id in &v.replica.joint {
-            let Some(rec) = v.replica.jobs.get(id) else {
+        for id in &view.replica.joint {
+            let Some(rec) = view.replica.jobs.get(id) else {
                 continue;
             };
             let Some(Joint(attempt, zone)) = &rec.value.joint else {
@@ -145,6 +145,6 @@
                 (Key::Job(id), rec.mark, value(&new))
             })
             .collect();
-        self.commit(changes, Urgency::Next, v);
+        self.commit(changes, Urgency::Next, view);
     }
 }
--- a/src/leader/machines.rs
+++ b/src/leader/machines.rs
@@ -7,14 +7,14 @@
     /// depend on is kept together by zone as far as the largest gang asks; all
     /// others go where there is least, near home first, so that a zone that is cut
     /// off still has an owner inside.
-    pub(super) fn region_for(&self, offer: &Offer, v: &View<'_>) -> String {
-        let regions = v.settings.regions();
-        let flavor = |name: &str| v.replica.flavors.get(name).map(|f| &f.value);
+    pub(super) fn region_for(&self, offer: &Offer, view: &View<'_>) -> String {
+        let regions = view.settings.regions();
+        let flavor = |name: &str| view.replica.flavors.get(name).map(|f| &f.value);
         let scarce = !offer.spot
-            && (self.narrow.kept_for(&offer.flavor, v.now).is_some()
+            && (self.narrow.kept_for(&offer.flavor, view.now).is_some()
                 || flavor(&offer.flavor).is_some_and(|f| {
-                    v.replica.flavors.len() > 1
-                        && v.replica.flavors.values().all(|o| {
+                    view.replica.flavors.len() > 1
+                        && view.replica.flavors.values().all(|o| {
                             o.value.name == f.name
                                 || (o.value.cpus < f.cpus
                                     || o.value.mem < f.mem
@@ -30,7 +30,7 @@
             };
             all += n;
             if let Some(f) = flavor(kind.0) {
-                let kept = self.narrow.kept_for(kind.0, v.now).filter(|_| !kind.2);
+                let kept = self.narrow.kept_for(kind.0, view.now).filter(|_| !kind.2);
                 let cpus = f.cpus.saturating_sub(kept.map_or(0, |k| k.0));
                 *l += cpus as f64 * n as f64;
             }
@@ -38,7 +38,7 @@
                 *same.entry(r).or_default() += n;
             }
         };
-        for (region, kinds) in &v.replica.stock {
+        for (region, kinds) in &view.replica.stock {
             for ((f, z, spot), n) in kinds {
                 add(region, (f, z, *spot), *n);
             }
@@ -53,17 +53,17 @@
                 .max(8);
             let together = same
                 .iter()
-                .filter(|(r, n)| **n < most && v.replica.regions.contains_key(**r))
+                .filter(|(r, n)| **n < most && view.replica.regions.contains_key(**r))
                 .max_by_key(|(_, n)| **n);
             if let Some((r, _)) = together {
                 return (*r).to_owned();
             }
         }
         let zone_of = |r: &str| {
-            if r == v.settings.name {
-                return v.settings.zone.as_str();
+            if r == view.settings.name {
+                return view.settings.zone.as_str();
             }
-            let peer = v.settings.peers.iter().find(|p| p.name == r);
+            let peer = view.settings.peers.iter().find(|p| p.name == r);
             peer.map_or("", |p| p.zone.as_str())
         };
         let least = |near: bool| {
@@ -77,7 +77,7 @@
         match (least(true), least(false)) {
             (Some((r, l)), _) if scarce || l <= mean * 1.25 + lot => r,
             (_, Some((r, _))) => r,
-            _ => v.settings.name.clone(),
+            _ => view.settings.name.clone(),
         }
     }
 
@@ -87,12 +87,12 @@
         offer: &Offer,
         names: &[String],
         region: &str,
-        v: &View<'_>,
+        view: &View<'_>,
     ) {
         let mut changes = Vec::new();
         for (i, chunk) in names.chunks(MAX_BATCH).enumerate() {
             self.counter += 1;
-            let id = format!("{}-{}-{}", v.settings.name, self.mark, self.counter);
+            let id = format!("{}-{}-{}", view.settings.name, self.mark, self.counter);
             log::info!(
                 "leader: lot {id}: {} {} in {}{} dealt to {region}, from {}",
                 chunk.len(),
@@ -115,40 +115,44 @@
                     region: region.to_owned(),
                     count: chunk.len(),
                     names: chunk.to_vec(),
-                    since: v.now + i as Micros,
+                    since: view.now + i as Micros,
                     recorded: None,
                 },
             );
             changes.push((Key::MachineBatch(id), 0, value(&rec)));
         }
-        self.commit(changes, Urgency::Next, v);
+        self.commit(changes, Urgency::Next, view);
     }
 
     /// A machine that has no record reports. That alone brings nothing into being:
     /// it may be a late copy from a machine that is long gone. The cloud's list
     /// says, and is asked for soon.
-    pub fn on_unknown_machine(&mut self, v: &View<'_>) {
-        let wait = if v.replica.machines.is_empty() { 1 } else { 4 };
+    pub fn on_unknown_machine(&mut self, view: &View<'_>) {
+        let wait = if view.replica.machines.is_empty() {
+            1
+        } else {
+            4
+        };
         self.next_list = self
             .next_list
-            .min((self.last_list + wait * SECOND).max(v.now));
+            .min((self.last_list + wait * SECOND).max(view.now));
     }
 
     /// Takes what the cloud answered.
-    pub fn on_fleet(&mut self, ev: &FleetEvent, v: &View<'_>) {
+    pub fn on_fleet(&mut self, ev: &FleetEvent, view: &View<'_>) {
         match ev {
             FleetEvent::Flavors(list) => {
                 let changes = list
                     .iter()
                     .filter_map(|f| {
-                        let known = v.replica.flavors.get(&f.name);
+                        let known = view.replica.flavors.get(&f.name);
                         known.is_none_or(|k| differs(k, f)).then(|| {
                             let mark = known.map_or(0, |k| k.mark);
                             (Key::Flavor(f.name.clone()), mark, value(f))
                         })
                     })
                     .collect();
-                self.commit(changes, Urgency::Next, v);
+                self.commit(changes, Urgency::Next, view);
             }
             FleetEvent::Rented(offer, region, names, asked) => {
                 log::info!(
@@ -159,11 +163,11 @@
                     if offer.spot { ", spot" } else { "" }
                 );
                 if (names.len() as u32) < *asked {
-                    self.refusals.refused(offer, v.now);
+                    self.refusals.refused(offer, view.now);
                 } else {
                     self.refusals.filled(offer);
                 }
-                self.assign_machines(offer, names, region, v);
+                self.assign_machines(offer, names, region, view);
             }
             FleetEvent::NoCapacity(offer) => {
                 log::info!(
@@ -172,9 +176,9 @@
                     offer.zone,
                     if offer.spot { ", spot" } else { "" }
                 );
-                self.refusals.refused(offer, v.now);
+                self.refusals.refused(offer, view.now);
             }
-            FleetEvent::Listed(list) => self.on_list(list, v),
+            FleetEvent::Listed(list) => self.on_list(list, view),
             FleetEvent::Down | FleetEvent::Released(_) => {}
         }
     }
@@ -182,30 +186,31 @@
     /// Machines that nobody knows: there before us, or rented by a request that was
     /// carried out late. They are dealt like any other and used, or returned when
     /// idle.
-    pub(super) fn on_list(&mut self, list: &[Listed], v: &View<'_>) {
+    pub(super) fn on_list(&mut self, list: &[Listed], view: &View<'_>) {
         // Records that can't be read may name them.
-        if !v.replica.unreadable.is_empty() {
+        if !view.replica.unreadable.is_empty() {
             return;
         }
-        let keep = (4 * v.settings.list_lag).max(120 * SECOND);
-        self.gone.retain(|_, at| v.now < *at + keep);
-        let cold = v.replica.machines.is_empty() && v.replica.opened.is_empty();
+        let keep = (4 * view.settings.list_lag).max(120 * SECOND);
+        self.gone.retain(|_, at| view.now < *at + keep);
+        let cold = view.replica.machines.is_empty() && view.replica.opened.is_empty();
         let pending: BTreeSet<&String> = self.coming.values().flat_map(|c| &c.names).collect();
         let mut odd = BTreeMap::new();
         let mut todo: BTreeMap<Offer, Vec<String>> = BTreeMap::new();
         for m in list {
             if m.failed
-                || v.replica.machines.contains_key(&m.name)
+                || view.replica.machines.contains_key(&m.name)
                 || pending.contains(&m.name)
                 || self.gone.contains_key(&m.name)
             {
                 continue;
             }
-            let since = self.odd.get(&m.name).copied().unwrap_or(v.now);
+            let since = self.odd.get(&m.name).copied().unwrap_or(view.now);
             odd.insert(m.name.clone(), since);
             // The list is late: only what stays odd is odd. When there never was a
             // record of any machine, there is none that could be gone.
-            let sure = v.now > since + 2 * v.settings.list_lag && m.age > 2 * v.settings.list_lag;
+            let sure =
+                view.now > since + 2 * view.settings.list_lag && m.age > 2 * view.settings.list_lag;
             if sure || cold {
                 todo.entry(m.offer.clone())
                     .or_default()
@@ -217,12 +222,12 @@
             // Some at a time, so that those of a type that nothing depends on are
             // spread over the regions.
             for some in names.chunks(8) {
-                let region = self.region_for(&offer, v);
-                self.assign_machines(&offer, some, &region, v);
+                let region = self.region_for(&offer, view);
+                self.assign_machines(&offer, some, &region, view);
             }
         }
         if !self.odd.is_empty() {
-            self.next_list = self.next_list.min(v.now + v.settings.list_lag);
+            self.next_list = self.next_list.min(view.now + view.settings.list_lag);
         }
     }
 }
--- a/src/leader/rebinding.rs
+++ b/src/leader/rebinding.rs
@@ -5,22 +5,22 @@
 impl Leader {
     /// Rebinds tasks that have found no room for a short while to the region
     /// with the most free room.
-    pub(super) fn move_waiting(&mut self, v: &View<'_>, waits: &mut [Wait], rooms: &mut [Room]) {
+    pub(super) fn move_waiting(&mut self, view: &View<'_>, waits: &mut [Wait], rooms: &mut [Room]) {
         // Guards against room that is spoken for by tasks which their team's limit keeps
         // from it, while others wait where there is none: those come last.
         waits.sort_by_key(|w| w.short);
         let split = waits.partition_point(|w| !w.short);
         // Each is a change of a record.
-        let mut most = (v.settings.store_writes_least * 0.4 * 0.2).ceil() as u32;
+        let mut most = (view.settings.store_writes_least * 0.4 * 0.2).ceil() as u32;
         let (free, short) = waits.split_at_mut(split);
         for part in [free, short] {
-            self.move_part(v, part, rooms, &mut most);
+            self.move_part(view, part, rooms, &mut most);
         }
     }
 
     pub(super) fn move_part(
         &mut self,
-        v: &View<'_>,
+        view: &View<'_>,
         waits: &mut [Wait],
         rooms: &mut [Room],
         most: &mut u32,
@@ -65,7 +65,7 @@
             };
             let to = per_region
                 .iter()
-                .filter(|(r, (z, _))| room(z) >= need && v.replica.regions.contains_key(**r))
+                .filter(|(r, (z, _))| room(z) >= need && view.replica.regions.contains_key(**r))
                 .max_by(|a, b| a.1 .1.total_cmp(&b.1 .1));
             let Some((to, (zones, _))) = to else {
                 continue;
@@ -82,7 +82,7 @@
             }
             w.count -= count;
             *most -= 1;
-            self.moved.insert(w.id.clone(), v.now);
+            self.moved.insert(w.id.clone(), view.now);
             self.out.push(Effect::Tell(Message::Move {
                 job: w.id.clone(),
                 from: w.region.clone(),
--- a/src/leader/renting.rs
+++ b/src/leader/renting.rs
@@ -8,7 +8,7 @@
     /// through within the horizon rents nothing.
     pub(super) fn rent(
         &mut self,
-        v: &View<'_>,
+        view: &View<'_>,
         waits: &[Wait],
         rooms: &mut [Room],
         fleet: &mut Fleet,
@@ -23,7 +23,7 @@
             if asks == 0 {
                 return;
             }
-            asks -= usize::from(self.rent_whole(v, w, rooms, fleet));
+            asks -= usize::from(self.rent_whole(view, w, rooms, fleet));
         }
         // Other work, by the one type it fits or for all types together.
         let mut groups: BTreeMap<Option<&str>, Vec<&Wait>> = BTreeMap::new();
@@ -56,7 +56,7 @@
                     .iter()
                     .map(|w| {
                         w.count as f64 * w.spec.cpus as f64 * w.spec.estimate.max(SECOND) as f64
-                            / horizon(&w.spec, v) as f64
+                            / horizon(&w.spec, view) as f64
                     })
                     .sum(),
             };
@@ -69,16 +69,17 @@
             let mut must = list.iter().find(|w| shut(w)).copied();
             while asks > 0 && tasks > 0 && (have < target || must.is_some()) {
                 let w = must.take().unwrap_or(first);
-                let Some((offer, per)) = self.best_offer(&w.spec, narrow.is_some(), None, v) else {
+                let Some((offer, per)) = self.best_offer(&w.spec, narrow.is_some(), None, view)
+                else {
                     break;
                 };
-                let Some(f) = v.replica.flavors.get(&offer.flavor).map(|f| &f.value) else {
+                let Some(f) = view.replica.flavors.get(&offer.flavor).map(|f| &f.value) else {
                     break;
                 };
                 let by_work = ((target - have) / f.cpus.max(1) as f64).ceil().max(1.0) as u64;
                 let by_tasks = tasks.div_ceil(per.max(1));
                 let count = by_work.min(by_tasks).clamp(1, MAX_BATCH as u64);
-                let count = u64::from(self.boots.limit(&offer, count as u32, v.now));
+                let count = u64::from(self.boots.limit(&offer, count as u32, view.now));
                 if count == 0 {
                     break;
                 }
@@ -93,8 +94,8 @@
                 have += (f.cpus * count) as f64;
                 tasks = tasks.saturating_sub(per * count);
                 asks -= 1;
-                let region = self.region_for(&offer, v);
-                self.ask(offer, region, count as u32, v, fleet);
+                let region = self.region_for(&offer, view);
+                self.ask(offer, region, count as u32, view, fleet);
             }
         }
     }
@@ -105,7 +106,7 @@
     /// scarce type cut into pieces holds no large gang.
     pub(super) fn rent_whole(
         &mut self,
-        v: &View<'_>,
+        view: &View<'_>,
         w: &Wait,
         rooms: &mut [Room],
         fleet: &mut Fleet,
@@ -115,7 +116,7 @@
         // A zone, or all of them if it may be anywhere.
         let mut places: BTreeSet<Option<String>> = BTreeSet::new();
         if s.one_zone {
-            let zones = v.replica.flavors.values().flat_map(|f| &f.value.zones);
+            let zones = view.replica.flavors.values().flat_map(|f| &f.value.zones);
             places.extend(zones.cloned().map(Some));
         } else {
             places.insert(None);
@@ -130,9 +131,10 @@
                 .map(|r| r.takes(s, narrow))
                 .sum()
         };
-        let offer = |l: &Self, zone: &Option<String>| l.best_offer(s, narrow, zone.as_deref(), v);
+        let offer =
+            |l: &Self, zone: &Option<String>| l.best_offer(s, narrow, zone.as_deref(), view);
         let here = |l: &Self, zone: &Option<String>| {
-            offer(l, zone).filter(|(o, _)| l.region_for(o, v) == w.region)
+            offer(l, zone).filter(|(o, _)| l.region_for(o, view) == w.region)
         };
         let best = places
             .iter()
@@ -156,7 +158,7 @@
         if let Some((o, per)) = here(self, zone) {
             let lacking = need - have;
             let count = lacking.div_ceil(per.max(1)).clamp(1, MAX_BATCH as u64) as u32;
-            let count = self.boots.limit(&o, count, v.now);
+            let count = self.boots.limit(&o, count, view.now);
             if count == 0 {
                 return false;
             }
@@ -164,18 +166,18 @@
                 "leader: {}: {lacking} of its {need} tasks lack machines",
                 w.id
             );
-            self.ask(o, w.region.clone(), count, v, fleet);
+            self.ask(o, w.region.clone(), count, view, fleet);
             return true;
         }
         if w.since < 2 * SECOND || self.moved.contains_key(&w.id) || w.count != need {
             return false;
         }
         let holds = |r: &str| self.in_region(s, r, |x| x.at_most(s, narrow)) >= need;
-        let owned = |r: &String| v.replica.regions.contains_key(r);
+        let owned = |r: &String| view.replica.regions.contains_key(r);
         let elsewhere = places
             .iter()
             .filter_map(|z| offer(self, z))
-            .map(|(o, _)| self.region_for(&o, v))
+            .map(|(o, _)| self.region_for(&o, view))
             .find(|r| *r != w.region && owned(r));
         let to = match elsewhere {
             Some(r) => r,
@@ -183,12 +185,12 @@
             None if holds(&w.region) => return false,
             // Another does; or nobody, and it is bound anew, over several.
             None => {
-                let mut all = v.settings.regions().into_iter();
+                let mut all = view.settings.regions().into_iter();
                 all.find(|r| owned(r) && holds(r)).unwrap_or_default()
             }
         };
         log::info!("leader: {}: can't be had in {}, to {to:?}", w.id, w.region);
-        self.moved.insert(w.id.clone(), v.now + 10 * SECOND);
+        self.moved.insert(w.id.clone(), view.now + 10 * SECOND);
         self.out.push(Effect::Tell(Message::Move {
             job: w.id.clone(),
             from: w.region.clone(),
@@ -205,11 +207,11 @@
         offer: Offer,
         region: String,
         count: u32,
-        v: &View<'_>,
+        view: &View<'_>,
         fleet: &mut Fleet,
     ) {
         self.counter += 1;
-        let tenancy = format!("{}-{}-{}", v.settings.name, self.mark, self.counter);
+        let tenancy = format!("{}-{}-{}", view.settings.name, self.mark, self.counter);
         fleet.rent(offer, region, count, tenancy);
     }
 
@@ -220,20 +222,20 @@
         s: &JobSpec,
         narrow: bool,
         zone: Option<&str>,
-        v: &View<'_>,
+        view: &View<'_>,
     ) -> Option<(Offer, u64)> {
         let mut best: Option<(f64, Offer, u64)> = None;
-        for o in offers(&v.replica.flavors) {
-            let Some(f) = v.replica.flavors.get(&o.flavor).map(|f| &f.value) else {
+        for o in offers(&view.replica.flavors) {
+            let Some(f) = view.replica.flavors.get(&o.flavor).map(|f| &f.value) else {
                 continue;
             };
             if !s.allows(f, &o.zone, o.spot)
-                || self.refusals.closed(&o, v.now)
+                || self.refusals.closed(&o, view.now)
                 || zone.is_some_and(|z| z != o.zone)
             {
                 continue;
             }
-            if !narrow && !o.spot && self.narrow.kept_for(&o.flavor, v.now).is_some() {
+            if !narrow && !o.spot && self.narrow.kept_for(&o.flavor, view.now).is_some() {
                 continue;
             }
             let per = s.per_machine(f);
--- a/src/node.rs
+++ b/src/node.rs
@@ -444,14 +444,14 @@
             }
             Some(CallFor::Cloud(op)) => {
                 for ev in self.fleet.on_response(op, result, self.now) {
-                    let v = view!(self);
+                    let view = view!(self);
                     if let FleetEvent::Released(names) = &ev {
                         for r in self.regions.values_mut() {
-                            r.on_released(names, true, &v);
+                            r.on_released(names, true, &view);
                         }
                     }
                     if let Some(l) = &mut self.leader {
-                        l.on_fleet(&ev, &v);
+                        l.on_fleet(&ev, &view);
                     }
                 }
             }
@@ -501,29 +501,29 @@
         self.reported_cancelled
             .retain(|id| known.get(id).is_none_or(|r| r.value.stage == Stage::Open));
         self.registry.replica.take_respecified();
-        let v = view!(self);
+        let view = view!(self);
         for r in self.regions.values_mut() {
-            r.on_loaded(&v);
+            r.on_loaded(&view);
         }
     }
 
     fn on_changed(&mut self, keys: Vec<Key>) {
         let machines = self.registry.replica.take_touched();
         let respecified = self.registry.replica.take_respecified();
-        let v = view!(self);
+        let view = view!(self);
         for name in &machines {
             for r in self.regions.values_mut() {
-                r.on_machine(name, &v);
+                r.on_machine(name, &view);
             }
-            if !v.replica.machines.contains_key(name) {
+            if !view.replica.machines.contains_key(name) {
                 if let Some(l) = &mut self.leader {
-                    l.machine_gone(name, v.now);
+                    l.machine_gone(name, view.now);
                 }
             }
         }
         for id in &respecified {
             for r in self.regions.values_mut() {
-                r.on_job(id, &v, false);
+                r.on_job(id, &view, false);
             }
         }
         let mut shown = Vec::new();
@@ -531,9 +531,9 @@
             match &key {
                 Key::Job(id) => {
                     for r in self.regions.values_mut() {
-                        r.on_job(id, &v, false);
+                        r.on_job(id, &view, false);
                     }
-                    let over = v.replica.jobs.get(id);
+                    let over = view.replica.jobs.get(id);
                     if over.is_some_and(|r| r.value.stage != Stage::Open) {
                         shown.push(id.clone());
                     }
@@ -545,12 +545,12 @@
                 }
                 Key::Flavor(_) => {
                     for r in self.regions.values_mut() {
-                        r.on_flavors(&v);
+                        r.on_flavors(&view);
                     }
                 }
                 Key::Progress(id, ..) => {
                     for r in self.regions.values_mut() {
-                        r.on_progress(id, &v);
+                        r.on_progress(id, &view);
                     }
                 }
                 Key::Region(_) | Key::Leader | Key::Token => {}
--- a/src/node/commits.rs
+++ b/src/node/commits.rs
@@ -4,9 +4,9 @@
 
 impl<N: Net> Node<N> {
     pub(super) fn on_committed(&mut self, ticket: u64, outcome: Outcome) {
-        let v = view!(self);
+        let view = view!(self);
         for r in self.regions.values_mut() {
-            if r.on_committed(ticket, &outcome, &v) {
+            if r.on_committed(ticket, &outcome, &view) {
                 return;
             }
         }
--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -37,8 +37,8 @@
         if ours {
             if self.leader.is_none() && self.now < self.registry.leader_until() {
                 log::info!("node: leader: since revision {mark}");
-                let v = view!(self);
-                self.leader = Some(Leader::new(mark, &v));
+                let view = view!(self);
+                self.leader = Some(Leader::new(mark, &view));
             }
             return;
         }
@@ -85,8 +85,8 @@
         let Some(mut l) = self.leader.take() else {
             return until;
         };
-        let v = view!(self);
-        until = until.min(l.tick(&v, &self.reports, &mut self.fleet));
+        let view = view!(self);
+        until = until.min(l.tick(&view, &self.reports, &mut self.fleet));
         let effects = l.take_effects();
         self.leader = Some(l);
         for e in effects {
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -7,8 +7,8 @@
     /// plans by it, the others just that we are here, and all of it now and then.
     pub(super) fn send_state(&mut self) {
         let regions: Vec<mesh::RegionReport> = if self.authority() {
-            let v = view!(self);
-            self.regions.values().map(|r| r.report(&v)).collect()
+            let view = view!(self);
+            self.regions.values().map(|r| r.report(&view)).collect()
         } else {
             Vec::new()
         };
@@ -123,9 +123,9 @@
                 if !self.authority() || !known {
                     return;
                 }
-                let v = view!(self);
+                let view = view!(self);
                 if let Some(r) = self.regions.get_mut(&from) {
-                    r.give(&job, &to, count, &v);
+                    r.give(&job, &to, count, &view);
                 }
             }
             Message::AskStatus | Message::Status(_) => {}
@@ -152,9 +152,9 @@
                         continue;
                     }
                     self.reported_cancelled.insert(id.clone());
-                    let v = view!(self);
+                    let view = view!(self);
                     for r in self.regions.values_mut() {
-                        r.on_reported_cancelled(&id, &v);
+                        r.on_reported_cancelled(&id, &view);
                     }
                 }
             }
@@ -165,9 +165,9 @@
                 spot,
                 count,
             } => {
-                let v = view!(self);
+                let view = view!(self);
                 if let Some(r) = self.regions.get_mut(&region) {
-                    r.close((&flavor, &zone, spot), count, &v);
+                    r.close((&flavor, &zone, spot), count, &view);
                 }
             }
             Message::Go {
@@ -175,9 +175,9 @@
                 attempt,
                 region,
             } => {
-                let v = view!(self);
+                let view = view!(self);
                 if let Some(r) = self.regions.get_mut(&region) {
-                    r.go(&job, attempt, &v);
+                    r.go(&job, attempt, &view);
                 }
             }
         }
--- a/src/node/reachability.rs
+++ b/src/node/reachability.rs
@@ -201,7 +201,7 @@
         if off || self.unreached.is_empty() {
             return;
         }
-        let v = view!(self);
+        let view = view!(self);
         let released = &self.releases.released;
         let release: Vec<(String, u64)> = self
             .unreached
@@ -211,7 +211,7 @@
                 let opened = r.opened_machines();
                 opened >= LEAST_MACHINES
                     && news.machines * 2 >= opened
-                    && r.hears_few(able_since, &v)
+                    && r.hears_few(able_since, &view)
             })
             .filter(|(r, _)| {
                 let last = released.get(&r.name);
--- a/src/node/regions.rs
+++ b/src/node/regions.rs
@@ -40,8 +40,8 @@
                 if !self.regions.contains_key(&name) && self.registry.replica.revision >= mark {
                     let token = rec.map_or(0, |r| r.token);
                     log::info!("node: region {name}: taken, token {token}");
-                    let v = view!(self);
-                    let region = Region::new(&name, token, mark, &v);
+                    let view = view!(self);
+                    let region = Region::new(&name, token, mark, &view);
                     self.regions.insert(name.clone(), region);
                     self.claims.remove(&name);
                 }
@@ -158,10 +158,10 @@
         if !self.authority() {
             return until;
         }
-        let v = view!(self);
+        let view = view!(self);
         let mut effects = Vec::new();
         for (name, r) in self.regions.iter_mut() {
-            until = until.min(r.tick(&v));
+            until = until.min(r.tick(&view));
             effects.extend(r.take_effects().into_iter().map(|e| (name.clone(), e)));
         }
         for (name, e) in effects {
--- a/src/node/reports.rs
+++ b/src/node/reports.rs
@@ -14,9 +14,9 @@
         let elsewhere = |to: Option<&str>| Response::new(421, workers::elsewhere(to));
         let Some(rec) = self.registry.replica.machines.get(&r.machine) else {
             // No record: the leader finds out what it is.
-            let v = view!(self);
+            let view = view!(self);
             if let Some(l) = &mut self.leader {
-                l.on_unknown_machine(&v);
+                l.on_unknown_machine(&view);
                 return self.reactor.respond(conn, elsewhere(None));
             }
             let to = self
@@ -39,12 +39,12 @@
         if !self.authority() {
             return self.refuse(conn, 503, 1);
         }
-        let v = view!(self);
+        let view = view!(self);
         let Some(owned) = self.regions.get_mut(&region) else {
             return;
         };
         let token = owned.token;
-        let verdict = owned.on_report(&r, &v);
+        let verdict = owned.on_report(&r, &view);
         let answer = match verdict {
             Verdict::Commands(c) => Response::new(200, workers::answer(token, &c)),
             Verdict::Stale => {
--- a/src/region.rs
+++ b/src/region.rs
@@ -8,8 +8,11 @@
 mod boots;
 mod failures;
 mod gangs;
+mod hearing;
 mod jobs;
 mod list;
+mod machine_records;
+mod machine_watch;
 mod machines;
 mod placing;
 mod preemption;
@@ -18,7 +21,7 @@
 mod reports;
 
 pub use boots::LEAST_OVERDUE;
-pub use machines::LEAST_AGE;
+pub use machine_watch::LEAST_AGE;
 pub use placing::{latest_start, narrow_type, waiting_spans, NarrowMemory};
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -39,8 +42,8 @@
 use crate::workers::{Command, End, OnMachine, Report, MAX_COMMANDS};
 use boots::BootHistory;
 use failures::{JobFailures, MachineFailures};
+use hearing::Ear;
 use list::{fits, GroupKey, List, Listed, Room};
-use machines::Ear;
 use placing::{Hold, OrderKey};
 
 /// Where a task is.
@@ -467,13 +470,13 @@
     /// Takes up a region whose record was just committed as ours. The replica
     /// must be complete up to that commit, so that every machine and every job
     /// a former owner may have touched is in it.
-    pub fn new(name: &str, token: u64, mark: u64, v: &View<'_>) -> Self {
+    pub fn new(name: &str, token: u64, mark: u64, view: &View<'_>) -> Self {
         let mut r = Region {
             name: name.to_owned(),
             token,
             mark,
             settled: false,
-            taken_at: v.now,
+            taken_at: view.now,
             machines: BTreeMap::new(),
             list: List::default(),
             awaited: BTreeSet::new(),
@@ -500,7 +503,7 @@
             tickets: BTreeMap::new(),
             conflicts: Vec::new(),
             guaranteed: BTreeMap::new(),
-            stale_teams: v.replica.teams.keys().cloned().collect(),
+            stale_teams: view.replica.teams.keys().cloned().collect(),
             narrow: NarrowMemory::default(),
             out: Vec::new(),
             dirty_jobs: BTreeSet::new(),
@@ -511,27 +514,27 @@
             next_share: 0,
             next_preempt: 0,
         };
-        for (machine, rec) in &v.replica.machines {
+        for (machine, rec) in &view.replica.machines {
             if rec.value.region == name {
-                r.on_machine(machine, v);
+                r.on_machine(machine, view);
             }
         }
         let opened = r.machines.iter().filter(|(_, m)| m.rec.opened);
         r.awaited = opened.map(|(n, _)| n.clone()).collect();
-        for id in &v.replica.open {
-            r.on_job(id, v, true);
+        for id in &view.replica.open {
+            r.on_job(id, view, true);
         }
-        for (team, q) in &v.replica.quotas {
+        for (team, q) in &view.replica.quotas {
             let s = r.shares.entry(Rc::from(team.as_str())).or_default();
             s.inherited = quota::share(Some(&q.value), name);
         }
         let ids: Vec<JobId> = r.jobs.keys().cloned().collect();
         for id in ids {
-            r.on_progress(&id, v);
+            r.on_progress(&id, view);
         }
-        r.try_finish_recovery(v);
+        r.try_finish_recovery(view);
         if is_left_out(Guard::Recovery) && !r.settled {
-            r.finish_recovery(v);
+            r.finish_recovery(view);
         }
         r
     }
@@ -555,12 +558,12 @@
 
     /// Whether few of these have been heard of late, though they could have been answered
     /// since `able_since` and there was time for all.
-    pub fn hears_few(&self, able_since: Micros, v: &View<'_>) -> bool {
-        let patience = v.settings.report * 5 / 4 + 4 * SECOND;
-        if v.now < self.taken_at.max(able_since) + 2 * patience {
+    pub fn hears_few(&self, able_since: Micros, view: &View<'_>) -> bool {
+        let patience = view.settings.report * 5 / 4 + 4 * SECOND;
+        if view.now < self.taken_at.max(able_since) + 2 * patience {
             return false;
         }
-        let since = v.now.saturating_sub(patience);
+        let since = view.now.saturating_sub(patience);
         let recent = self.heard.range((since, Rc::from(""))..).count();
         recent * 4 < self.heard.len()
     }
@@ -697,75 +700,75 @@
     }
 
     /// Regular upkeep. Returns when to look again.
-    pub fn tick(&mut self, v: &View<'_>) -> Micros {
-        if v.now >= self.next_tick {
-            self.next_tick = v.now + 250 * MILLI;
-            self.settle_conflicts(v);
-            self.watch_machines(v);
-            self.save_before_notice(v);
-            self.write_machines(v);
-            self.look_again(v);
-            self.preempt(v);
-            if v.now >= self.next_share {
-                self.next_share = v.now + SECOND / 2;
-                self.keep_clear(v);
-                self.watch_hold(v);
-                self.share_out(v);
+    pub fn tick(&mut self, view: &View<'_>) -> Micros {
+        if view.now >= self.next_tick {
+            self.next_tick = view.now + 250 * MILLI;
+            self.settle_conflicts(view);
+            self.watch_machines(view);
+            self.save_before_notice(view);
+            self.write_machines(view);
+            self.look_again(view);
+            self.preempt(view);
+            if view.now >= self.next_share {
+                self.next_share = view.now + SECOND / 2;
+                self.keep_clear(view);
+                self.watch_hold(view);
+                self.share_out(view);
                 let due: Vec<JobId> = self.unwritten.iter().cloned().collect();
                 for id in due {
-                    self.write_progress(&id, v);
+                    self.write_progress(&id, view);
                 }
             }
             if !self.settled {
-                self.try_finish_recovery(v);
+                self.try_finish_recovery(view);
             }
         }
-        self.place(v);
+        self.place(view);
         self.next_tick
     }
 
     /// Jobs whose time has come: their place in the order changes, a delay is
     /// over, or room was held for too long.
-    fn look_again(&mut self, v: &View<'_>) {
+    fn look_again(&mut self, view: &View<'_>) {
         while let Some((at, id)) = self.wake.first().cloned() {
-            if at > v.now {
+            if at > view.now {
                 break;
             }
             self.wake.remove(&(at, id.clone()));
             let late = self.jobs.get(&id).and_then(|j| j.held_since);
-            if late.is_some_and(|s| v.now >= s + v.settings.gang_wait) {
+            if late.is_some_and(|s| view.now >= s + view.settings.gang_wait) {
                 // Guards against a gang over several regions of which another
                 // part never gets room: nobody holds places for it for ever.
                 log::info!("region: {id}: room let go, not all parts have it");
                 if let Some(j) = self.jobs.get_mut(&id) {
                     j.held_since = None;
-                    j.not_before = v.now + 2 * SECOND;
+                    j.not_before = view.now + 2 * SECOND;
                     self.wake.insert((j.not_before, id.clone()));
                 }
-                self.break_gang(&id, v);
+                self.break_gang(&id, view);
             }
             self.dirty_jobs.insert(id.clone());
-            self.rekey(&id, v);
+            self.rekey(&id, view);
         }
     }
 
     /// The replica was read anew as a whole.
-    pub fn on_loaded(&mut self, v: &View<'_>) {
+    pub fn on_loaded(&mut self, view: &View<'_>) {
         let mut names: BTreeSet<Rc<str>> = self.machines.keys().cloned().collect();
-        let here = v.replica.machines.iter();
+        let here = view.replica.machines.iter();
         names.extend(
             here.filter(|(_, m)| m.value.region == self.name)
                 .map(|(n, _)| Rc::from(n.as_str())),
         );
         for n in names {
-            self.on_machine(&n, v);
+            self.on_machine(&n, view);
         }
         let mut ids: BTreeSet<String> = self.jobs.keys().map(|j| j.to_string()).collect();
-        ids.extend(v.replica.open.iter().cloned());
+        ids.extend(view.replica.open.iter().cloned());
         for id in ids {
-            self.on_job(&id, v, false);
+            self.on_job(&id, view, false);
         }
-        self.on_flavors(v);
+        self.on_flavors(view);
     }
 
     /// A team's shares changed.
@@ -784,18 +787,18 @@
     }
 
     /// The region as told to the other controllers.
-    pub fn report(&self, v: &View<'_>) -> RegionReport {
+    pub fn report(&self, view: &View<'_>) -> RegionReport {
         let waits = self
             .ready
             .values()
             .filter_map(|id| Some((id, self.jobs.get(id)?)))
             .filter(|(_, j)| !j.writing)
-            .filter(|(_, j)| j.failures.is_suspect() || j.not_before <= v.now)
+            .filter(|(_, j)| j.failures.is_suspect() || j.not_before <= view.now)
             .take(200)
             .map(|(id, j)| WaitLine {
                 job: id.to_string(),
-                waiting: j.wanted(v.now),
-                since_us: v.now.saturating_sub(j.wait_since),
+                waiting: j.wanted(view.now),
+                since_us: view.now.saturating_sub(j.wait_since),
                 stuck: j.stuck() || j.failures.is_suspect(),
             })
             .collect();
--- a/src/region/failures.rs
+++ b/src/region/failures.rs
@@ -119,21 +119,21 @@
 
 impl Region {
     /// A task of a job failed on a machine. Returns for how long the job is not tried.
-    pub(super) fn on_failed(&mut self, machine: &str, id: &JobId, v: &View<'_>) -> Micros {
+    pub(super) fn on_failed(&mut self, machine: &str, id: &JobId, view: &View<'_>) -> Micros {
         let Some(job) = self.jobs.get_mut(id) else {
             return 0;
         };
         // A service has no results, so nothing could ever clear it.
         let has_results = job.spec.kind == Kind::Service
             || !job.done.is_empty()
-            || v.replica.progress.contains_key(&**id);
+            || view.replica.progress.contains_key(&**id);
         let turned = job.failures.failed(machine, has_results);
         let suspect = job.failures.is_suspect();
         let delay = job.failures.delay();
         if turned {
             self.on_suspect(id);
         } else if !suspect {
-            self.blame_machine(machine, id, has_results, v);
+            self.blame_machine(machine, id, has_results, view);
         }
         delay
     }
@@ -164,7 +164,7 @@
 
     /// Takes back what was assigned of a suspect array and not sent yet: it is tried a
     /// task at a time.
-    pub(super) fn withdraw_unsent(&mut self, id: &JobId, v: &View<'_>) {
+    pub(super) fn withdraw_unsent(&mut self, id: &JobId, view: &View<'_>) {
         let Some(job) = self.jobs.get(id) else {
             return;
         };
@@ -184,11 +184,11 @@
             .map(|(n, _)| *n)
             .collect();
         for n in unsent {
-            self.transition(id, n, Place::Waiting, None, v.now);
+            self.transition(id, n, Place::Waiting, None, view.now);
         }
     }
 
-    fn blame_machine(&mut self, machine: &str, id: &JobId, has_results: bool, v: &View<'_>) {
+    fn blame_machine(&mut self, machine: &str, id: &JobId, has_results: bool, view: &View<'_>) {
         let Some(m) = self.machines.get_mut(machine) else {
             return;
         };
@@ -196,8 +196,8 @@
         if m.failures.is_faulty() && m.closed.is_none() {
             log::info!("region: {machine}: closed, its tasks keep failing");
             m.closed = Some("faulty");
-            m.due = v.now;
-            self.due.insert((v.now, Rc::from(machine)));
+            m.due = view.now;
+            self.due.insert((view.now, Rc::from(machine)));
         }
     }
 }
--- a/src/region/gangs.rs
+++ b/src/region/gangs.rs
@@ -9,7 +9,7 @@
 const HOLD_AFTER: Micros = 60 * SECOND;
 
 impl Region {
-    pub(super) fn place_gang(&mut self, id: &JobId, v: &View<'_>) {
+    pub(super) fn place_gang(&mut self, id: &JobId, view: &View<'_>) {
         let Some(job) = self.jobs.get(id) else { return };
         let spec = job.spec.clone();
         // Of a gang over several regions, only this region's part is placed here.
@@ -29,10 +29,10 @@
         let tasks: Vec<u32> = job.waiting.numbers().collect();
         let (since, joint) = (job.wait_since, job.joint.clone());
         for zone in self.zones_for(job) {
-            if self.room_for(id, zone.as_deref(), n as u64, v) < n as u64 {
+            if self.room_for(id, zone.as_deref(), n as u64, view) < n as u64 {
                 continue;
             }
-            if !need.within(self.headroom(&spec.team, v)) {
+            if !need.within(self.headroom(&spec.team, view)) {
                 if let Some(j) = self.jobs.get_mut(id) {
                     j.short = true;
                 }
@@ -46,7 +46,7 @@
             let mut full = BTreeSet::new();
             let mut placed = 0;
             for t in &tasks {
-                let Some(name) = self.best_machine(id, zone.as_deref(), &full, v) else {
+                let Some(name) = self.best_machine(id, zone.as_deref(), &full, view) else {
                     break;
                 };
                 if spec.spread {
@@ -58,12 +58,12 @@
                         }
                     }
                 }
-                self.transition(id, *t, Place::Assigned, Some((&name, attempt)), v.now);
+                self.transition(id, *t, Place::Assigned, Some((&name, attempt)), view.now);
                 placed += 1;
             }
             if placed < tasks.len() {
                 for t in &tasks[..placed] {
-                    self.transition(id, *t, Place::Waiting, None, v.now);
+                    self.transition(id, *t, Place::Waiting, None, view.now);
                 }
                 self.dirty_jobs.remove(id);
                 if let Some(j) = self.jobs.get_mut(id) {
@@ -78,13 +78,14 @@
             if joint.is_some() {
                 log::info!("region: {id}: room held for our part, attempt {attempt}");
                 if let Some(j) = self.jobs.get_mut(id) {
-                    j.held_since = Some(v.now);
+                    j.held_since = Some(view.now);
                 }
-                self.wake.insert((v.now + v.settings.gang_wait, id.clone()));
+                self.wake
+                    .insert((view.now + view.settings.gang_wait, id.clone()));
             }
             return;
         }
-        self.hold_for(id, v);
+        self.hold_for(id, view);
     }
 
     /// Parts of gangs over several regions for which room is held here.
@@ -96,7 +97,7 @@
     }
 
     /// All parts of a gang over several regions have room: start ours.
-    pub fn go(&mut self, id: &str, attempt: u64, v: &View<'_>) {
+    pub fn go(&mut self, id: &str, attempt: u64, view: &View<'_>) {
         let Some((id, job)) = self.jobs.get_key_value(id) else {
             return;
         };
@@ -114,14 +115,14 @@
         for (n, name) in out {
             if let Some(h) = self.held_mut(&id, n, &name) {
                 h.wait_go = false;
-                h.since = v.now;
+                h.since = view.now;
             }
         }
     }
 
     /// A gang finds no room: if it is the first in line to wait, the places that
     /// fall free are kept for it.
-    pub(super) fn hold_for(&mut self, id: &JobId, v: &View<'_>) {
+    pub(super) fn hold_for(&mut self, id: &JobId, view: &View<'_>) {
         if self.hold.is_some() {
             return;
         }
@@ -130,9 +131,9 @@
             return;
         }
         // Since its submission: it may have been moved here.
-        let age = v.wall.saturating_sub(job.spec.submitted);
+        let age = view.wall.saturating_sub(job.spec.submitted);
         if age < HOLD_AFTER {
-            self.wake.insert((v.now + HOLD_AFTER - age, id.clone()));
+            self.wake.insert((view.now + HOLD_AFTER - age, id.clone()));
             return;
         }
         let n = job.mine.len() as u64;
@@ -144,7 +145,7 @@
                 let could = self.list.potential(&job.spec, wide, |k| {
                     job.spec.permits(&k.0, &k.1, k.2) && zone.as_ref().is_none_or(|z| *z == k.1)
                 });
-                let room = self.room_for(id, zone.as_deref(), n, v);
+                let room = self.room_for(id, zone.as_deref(), n, view);
                 (could >= n, room, zone)
             })
             .max();
@@ -162,11 +163,11 @@
             until: 0,
             looked: 0,
         });
-        self.watch_hold(v);
+        self.watch_hold(view);
     }
 
     /// Looks whether places must still be held, and until when they will fill.
-    pub(super) fn watch_hold(&mut self, v: &View<'_>) {
+    pub(super) fn watch_hold(&mut self, view: &View<'_>) {
         let Some(h) = &self.hold else { return };
         let stays = self
             .jobs
@@ -177,7 +178,7 @@
             self.dirty_all = true;
             return;
         };
-        if v.now < h.looked + 2 * SECOND {
+        if view.now < h.looked + 2 * SECOND {
             return;
         }
         let short = job.short;
@@ -201,10 +202,10 @@
                     .filter(|(_, t)| t.narrow || g.kept.is_none())
                     .filter_map(|((id, _), t)| {
                         let est = self.jobs.get(id)?.spec.estimate;
-                        Some(t.ran_at.unwrap_or(v.now) + est)
+                        Some(t.ran_at.unwrap_or(view.now) + est)
                     })
                     .max();
-                free_at.push((ends.unwrap_or(0).max(v.now), each));
+                free_at.push((ends.unwrap_or(0).max(view.now), each));
             }
         }
         free_at.sort_unstable();
@@ -215,7 +216,7 @@
         });
         if let Some(h) = &mut self.hold {
             h.until = until.unwrap_or(0);
-            h.looked = v.now;
+            h.looked = view.now;
             h.short = short;
             h.outranked = outranked;
         }
--- a/src/region/placing.rs
+++ b/src/region/placing.rs
@@ -70,16 +70,16 @@
 /// The time of day by which a job must be started to meet the nearest of its
 /// aims that can still be met: its own deadline, or what its class is expected.
 /// `None` if there was one and it is past; far off if there never was one.
-pub fn latest_start(s: &JobSpec, v: &View<'_>) -> Option<Micros> {
+pub fn latest_start(s: &JobSpec, view: &View<'_>) -> Option<Micros> {
     let mut any = false;
     let mut best: Option<Micros> = None;
     let mut aim = |at: Micros| {
         any = true;
-        if at >= v.wall {
+        if at >= view.wall {
             best = Some(best.map_or(at, |b| b.min(at)));
         }
     };
-    for span in waiting_spans(s, v.settings) {
+    for span in waiting_spans(s, view.settings) {
         aim(s.submitted + span);
     }
     if any {
@@ -173,7 +173,7 @@
     job: &Job,
     key: &GroupKey,
     g: &Group,
-    v: &View<'_>,
+    view: &View<'_>,
 ) -> bool {
     // Guards against work of higher priority that waits behind a hold while all that it
     // has stopped for its sake is started again.
@@ -190,7 +190,7 @@
     }
     // Guards against a job that waits without end beside free machines while the gang
     // gathers its team's share from other regions: one task at a time may pass.
-    let waited = v.now.saturating_sub(job.last_assigned);
+    let waited = view.now.saturating_sub(job.last_assigned);
     if h.short && waited > SHARE_HOLD_LIMIT && !is_left_out(Guard::ShareHoldLimit) {
         return false;
     }
@@ -203,7 +203,7 @@
         return false;
     }
     // Work that ends in time may run in the meantime.
-    v.now + job.spec.estimate * 3 / 2 + BACKFILL_SLACK > h.until
+    view.now + job.spec.estimate * 3 / 2 + BACKFILL_SLACK > h.until
 }
 
 impl Region {
@@ -217,9 +217,9 @@
         &self,
         id: &JobId,
         s: &JobSpec,
-        v: &View<'_>,
+        view: &View<'_>,
     ) -> (OrderKey, Option<Micros>) {
-        let precedence = v
+        let precedence = view
             .settings
             .operator
             .precedence
@@ -235,8 +235,8 @@
         // coming: once it is old enough a task starts now and then.
         let turn_in = self.jobs.get(id).and_then(|j| {
             let never_served = j.out.is_empty() && s.kind == Kind::Array && !suspect;
-            let by_age = (s.submitted + PATIENCE).saturating_sub(v.wall);
-            let by_last = (j.last_assigned + SHARE_HOLD_LIMIT).saturating_sub(v.now);
+            let by_age = (s.submitted + PATIENCE).saturating_sub(view.wall);
+            let by_last = (j.last_assigned + SHARE_HOLD_LIMIT).saturating_sub(view.now);
             never_served.then_some(by_age.max(by_last))
         });
         let key = |past_aims: bool, relaxed: bool, weight: u64| OrderKey {
@@ -254,32 +254,32 @@
         // One task needs no others' places: it goes by its aims like the rest.
         let together = s.kind == Kind::Gang && s.tasks > 1;
         let aged = s.submitted + PATIENCE;
-        if together || v.wall >= aged {
+        if together || view.wall >= aged {
             let change = turn_in.filter(|span| *span > 0);
             return (key(false, false, s.submitted), change.map(|c| c + MILLI));
         }
-        let due = latest_start(s, v);
+        let due = latest_start(s, view);
         let size = s.estimate.saturating_mul(s.tasks.into()) / 1000 * (s.cpus / 1000).max(1);
-        let pressing = due.is_some_and(|d| d < v.wall + PRESSING);
+        let pressing = due.is_some_and(|d| d < view.wall + PRESSING);
         let weight = if pressing { due.unwrap_or(0) } else { size };
         let change = match due {
             Some(d) if pressing => d,
             Some(d) => d - PRESSING,
             None => aged,
         };
-        let span = change.min(aged).saturating_sub(v.wall) + MILLI;
+        let span = change.min(aged).saturating_sub(view.wall) + MILLI;
         (key(due.is_none(), !pressing, weight), Some(span))
     }
 
     /// Enters a job into the order of waiting jobs, or takes it out.
-    pub(super) fn rekey(&mut self, id: &JobId, v: &View<'_>) {
+    pub(super) fn rekey(&mut self, id: &JobId, view: &View<'_>) {
         let Some(job) = self.jobs.get(id) else {
             return;
         };
         let waits = !job.waiting.is_empty() && !job.over;
         let (key, again) = if waits {
             let spec = job.spec.clone();
-            let (k, again) = self.order_key(id, &spec, v);
+            let (k, again) = self.order_key(id, &spec, view);
             (Some(k), again)
         } else {
             (None, None)
@@ -295,16 +295,16 @@
             if let Some(k) = key {
                 self.ready.insert(k, id.clone());
                 if let Some(span) = again {
-                    self.wake.insert((v.now + span, id.clone()));
+                    self.wake.insert((view.now + span, id.clone()));
                 }
             }
         }
     }
 
     /// Follows which jobs fit into their teams' guarantees.
-    fn look_at_guarantees(&mut self, v: &View<'_>) {
+    fn look_at_guarantees(&mut self, view: &View<'_>) {
         for team in std::mem::take(&mut self.stale_teams) {
-            let last = quota::last_guaranteed(v.replica, v.settings, &team);
+            let last = quota::last_guaranteed(view.replica, view.settings, &team);
             let was = match &last {
                 Some(l) => self.guaranteed.insert(team.clone(), l.clone()),
                 None => self.guaranteed.remove(&team),
@@ -317,7 +317,7 @@
                     .cloned()
                     .collect();
                 for id in ids {
-                    self.rekey(&id, v);
+                    self.rekey(&id, view);
                 }
             }
         }
@@ -326,8 +326,8 @@
     /// Sends waiting tasks to machines: each to the fitting one that holds the
     /// fewest tasks. Only jobs for which something changed are looked at: their own
     /// tasks, a machine's room, or their team's share.
-    pub fn place(&mut self, v: &View<'_>) {
-        self.look_at_guarantees(v);
+    pub fn place(&mut self, view: &View<'_>) {
+        self.look_at_guarantees(view);
         let jobs = std::mem::take(&mut self.dirty_jobs);
         let machines = std::mem::take(&mut self.dirty_machines);
         let teams = std::mem::take(&mut self.dirty_teams);
@@ -363,16 +363,16 @@
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
-            if job.not_before > v.now || job.waiting.is_empty() {
+            if job.not_before > view.now || job.waiting.is_empty() {
                 continue;
             }
             job.short = false;
             if job.spec.kind == Kind::Gang {
-                self.place_gang(&id, v);
+                self.place_gang(&id, view);
             } else {
-                self.place_tasks(&id, v);
+                self.place_tasks(&id, view);
             }
-            self.rekey(&id, v);
+            self.rekey(&id, view);
             short |= self.jobs.get(&id).is_some_and(|j| j.short);
         }
         if !self.surplus.is_empty() {
@@ -388,7 +388,7 @@
         }
         // What was found wanting is asked for at once.
         if short {
-            self.share_out(v);
+            self.share_out(view);
         }
     }
 
@@ -399,7 +399,7 @@
         id: &JobId,
         zone: Option<&str>,
         full: &BTreeSet<String>,
-        v: &View<'_>,
+        view: &View<'_>,
     ) -> Option<Rc<str>> {
         let job = self.jobs.get(id)?;
         let s = &job.spec;
@@ -407,7 +407,7 @@
         self.list.best(
             s,
             wide,
-            |k| self.allowed(id, job, k, zone, full, v),
+            |k| self.allowed(id, job, k, zone, full, view),
             |k, held, name| {
                 let m = self.machines.get(name)?;
                 let free = m.listed.room(wide)?;
@@ -430,12 +430,12 @@
     /// a task meant for the machine with the fewest tasks may wait a whole interval
     /// for it; one that holds no more takes it at once, any other after a while.
     /// Nothing was sent yet, so it is still sent once.
-    pub(super) fn draw(&mut self, name: &Rc<str>, v: &View<'_>) {
+    pub(super) fn draw(&mut self, name: &Rc<str>, view: &View<'_>) {
         const LOOK: usize = 64;
         if self.unsent.is_empty() {
             return;
         }
-        let patience = v.settings.report / 8;
+        let patience = view.settings.report / 8;
         let todo: Vec<(Micros, JobId, u32)> = self.unsent.iter().take(LOOK).cloned().collect();
         for (since, id, n) in todo {
             let (Some(job), Some(m)) = (self.jobs.get(&id), self.machines.get(name)) else {
@@ -464,13 +464,13 @@
                 || !fits(room, s)
                 || job.failures.failed_on(name)
                 || (bound && m.group != o.group)
-                || (!fewer && v.now < since + patience)
-                || !self.allowed(&id, job, &m.group, None, &BTreeSet::new(), v)
+                || (!fewer && view.now < since + patience)
+                || !self.allowed(&id, job, &m.group, None, &BTreeSet::new(), view)
             {
                 continue;
             }
             let fetch = |g: &GroupKey| {
-                let speed = v.replica.flavors.get(&*g.0).map_or(0, |f| f.value.fetch);
+                let speed = view.replica.flavors.get(&*g.0).map_or(0, |f| f.value.fetch);
                 (s.image_size * SECOND).checked_div(speed).unwrap_or(0)
             };
             let here = if m.images.contains(&s.image) {
@@ -478,14 +478,14 @@
             } else {
                 fetch(&m.group)
             };
-            let report = (o.heard_at + v.settings.report * 9 / 8).saturating_sub(v.now);
+            let report = (o.heard_at + view.settings.report * 9 / 8).saturating_sub(view.now);
             let there = report + if h.brings { fetch(&o.group) } else { 0 };
             if here + 300 * MILLI >= there {
                 continue;
             }
             let attempt = h.attempt;
             log::debug!("region: {id}/{n}: meant for {other}, drawn by {name}");
-            self.transition(&id, n, Place::Assigned, Some((name, attempt)), v.now);
+            self.transition(&id, n, Place::Assigned, Some((name, attempt)), view.now);
         }
     }
 
@@ -515,7 +515,7 @@
         k: &GroupKey,
         zone: Option<&str>,
         full: &BTreeSet<String>,
-        v: &View<'_>,
+        view: &View<'_>,
     ) -> bool {
         job.spec.permits(&k.0, &k.1, k.2)
             && zone.is_none_or(|z| z == &*k.1)
@@ -524,11 +524,17 @@
                 .list
                 .groups
                 .get(k)
-                .is_none_or(|g| !held_back(self.hold.as_ref(), id, job, k, g, v))
+                .is_none_or(|g| !held_back(self.hold.as_ref(), id, job, k, g, view))
     }
 
     /// How many of a job's tasks there is room for, up to `most`.
-    pub(super) fn room_for(&self, id: &JobId, zone: Option<&str>, most: u64, v: &View<'_>) -> u64 {
+    pub(super) fn room_for(
+        &self,
+        id: &JobId,
+        zone: Option<&str>,
+        most: u64,
+        view: &View<'_>,
+    ) -> u64 {
         let Some(job) = self.jobs.get(id) else {
             return 0;
         };
@@ -541,7 +547,7 @@
         self.list.count(
             &job.spec,
             wide,
-            |k| self.allowed(id, job, k, zone, &none, v),
+            |k| self.allowed(id, job, k, zone, &none, view),
             free,
             most,
         )
@@ -552,7 +558,7 @@
     /// idle for a report's interval, because the next task on it is of a team whose
     /// share must first be taken. No more than the region's machines could hold: a
     /// share kept for tasks that can't run here is lacking where they can.
-    pub(super) fn count_wants(&mut self, v: &View<'_>) {
+    pub(super) fn count_wants(&mut self, view: &View<'_>) {
         const LOOK: usize = 60;
         for s in self.shares.values_mut() {
             s.want = Amount::default();
@@ -568,9 +574,9 @@
                 continue;
             };
             let spec = job.spec.clone();
-            let waiting = u64::from(job.wanted(v.now));
+            let waiting = u64::from(job.wanted(view.now));
             let suspect = job.failures.is_suspect();
-            let room = self.room_for(id, None, waiting, v);
+            let room = self.room_for(id, None, waiting, view);
             // A suspect job takes what is free now, and no share ahead of that.
             let mut n = if suspect && room < waiting {
                 0
@@ -619,10 +625,10 @@
         }
     }
 
-    fn place_tasks(&mut self, id: &JobId, v: &View<'_>) {
+    fn place_tasks(&mut self, id: &JobId, view: &View<'_>) {
         loop {
             let Some(job) = self.jobs.get(id) else { return };
-            if job.wanted(v.now) == 0 {
+            if job.wanted(view.now) == 0 {
                 return;
             }
             let Some(n) = job.waiting.first() else { return };
@@ -654,10 +660,10 @@
             } else {
                 BTreeSet::new()
             };
-            let Some(name) = self.best_machine(id, zone.as_deref(), &full, v) else {
+            let Some(name) = self.best_machine(id, zone.as_deref(), &full, view) else {
                 return;
             };
-            if !spec.amount().within(self.headroom(&spec.team, v)) {
+            if !spec.amount().within(self.headroom(&spec.team, view)) {
                 if let Some(j) = self.jobs.get_mut(id) {
                     j.short = true;
                 }
@@ -665,7 +671,7 @@
             }
             let one_only = job.key.as_ref().is_some_and(|k| k.turn.0);
             let attempt = self.next_attempt();
-            self.transition(id, n, Place::Assigned, Some((&name, attempt)), v.now);
+            self.transition(id, n, Place::Assigned, Some((&name, attempt)), view.now);
             if one_only {
                 // The rest of it takes its place in the order again.
                 self.dirty_jobs.insert(id.clone());
--- a/src/region/preemption.rs
+++ b/src/region/preemption.rs
@@ -11,9 +11,9 @@
     /// finds room: of lower priority, or of other teams beyond their own guarantees.
     /// Only for the first such job in line, only after it has waited for a while,
     /// and only as much as it needs; what has run for the shortest time goes first.
-    pub(super) fn preempt(&mut self, v: &View<'_>) {
+    pub(super) fn preempt(&mut self, view: &View<'_>) {
         const LOOK: usize = 8;
-        if v.now < self.next_preempt || !self.settled || !v.starts {
+        if view.now < self.next_preempt || !self.settled || !view.starts {
             return;
         }
         let ids: Vec<JobId> = self.ready.values().take(LOOK).cloned().collect();
@@ -22,9 +22,9 @@
                 continue;
             };
             let guaranteed = job.key.as_ref().is_some_and(|k| !k.beyond_guarantee);
-            let wait = v.now.saturating_sub(job.wait_since);
+            let wait = view.now.saturating_sub(job.wait_since);
             if job.short
-                || job.not_before > v.now
+                || job.not_before > view.now
                 || wait < PREEMPT_AFTER
                 || job.writing
                 || job.failures.is_suspect()
@@ -39,11 +39,11 @@
                 1
             };
             let need = job.spec.amount().times(least);
-            if !need.within(self.headroom(&job.spec.team, v)) {
+            if !need.within(self.headroom(&job.spec.team, view)) {
                 continue;
             }
-            self.next_preempt = v.now + SECOND;
-            if self.make_room(&id, guaranteed, v) {
+            self.next_preempt = view.now + SECOND;
+            if self.make_room(&id, guaranteed, view) {
                 return;
             }
         }
@@ -51,14 +51,14 @@
 
     /// Whether a task has most of its run before it, or can save: else it is soon
     /// through by itself, and to stop it would waste more than it gains.
-    pub(super) fn far_from_done(&self, id: &JobId, h: &Held, v: &View<'_>) -> bool {
-        let ran = h.ran_at.map_or(0, |at| v.now.saturating_sub(at));
+    pub(super) fn far_from_done(&self, id: &JobId, h: &Held, view: &View<'_>) -> bool {
+        let ran = h.ran_at.map_or(0, |at| view.now.saturating_sub(at));
         self.jobs
             .get(id)
             .is_some_and(|j| j.spec.checkpoint > 0 || ran < j.spec.estimate / 3)
     }
 
-    pub(super) fn make_room(&mut self, id: &JobId, guaranteed: bool, v: &View<'_>) -> bool {
+    pub(super) fn make_room(&mut self, id: &JobId, guaranteed: bool, view: &View<'_>) -> bool {
         const MOST: u64 = 16;
         let Some(job) = self.jobs.get(id) else {
             return false;
@@ -96,7 +96,7 @@
                 }
                 // Guards against work that is stopped again and again for a job that
                 // may not go there, since the places are held for another.
-                let held = held_back(self.hold.as_ref(), id, job, k, g, v);
+                let held = held_back(self.hold.as_ref(), id, job, k, g, view);
                 if held || (wide && g.kept.is_some()) {
                     continue;
                 }
@@ -112,9 +112,9 @@
                     let mut cost = 0;
                     let mut stops = Vec::new();
                     for ((other, _), h) in &m.tasks {
-                        if may_stop(other, self) && self.far_from_done(other, h, v) {
+                        if may_stop(other, self) && self.far_from_done(other, h, view) {
                             room = list::sum(room, h.room());
-                            cost += v.now.saturating_sub(h.ran_at.unwrap_or(v.now));
+                            cost += view.now.saturating_sub(h.ran_at.unwrap_or(view.now));
                             stops.push(other.clone());
                         }
                     }
--- a/src/region/records.rs
+++ b/src/region/records.rs
@@ -14,14 +14,14 @@
     }
 
     /// Takes the end of a commit, if it was ours.
-    pub fn on_committed(&mut self, ticket: u64, outcome: &Outcome, v: &View<'_>) -> bool {
+    pub fn on_committed(&mut self, ticket: u64, outcome: &Outcome, view: &View<'_>) -> bool {
         let Some(purpose) = self.tickets.remove(&ticket) else {
             return false;
         };
         match outcome {
-            Outcome::Done(_) => self.concluded(purpose, true, v),
+            Outcome::Done(_) => self.concluded(purpose, true, view),
             Outcome::Conflict(revision) => self.conflicts.push((*revision, purpose)),
-            Outcome::Refused => self.concluded(purpose, false, v),
+            Outcome::Refused => self.concluded(purpose, false, view),
             // May yet be carried out: what it would change stays set aside.
             Outcome::Unknown => log::error!("region: {purpose:?}: commit ended unknown"),
         }
@@ -29,19 +29,19 @@
     }
 
     /// After a conflict nothing is concluded before the replica shows why.
-    pub(super) fn settle_conflicts(&mut self, v: &View<'_>) {
-        let known = v.replica.revision;
+    pub(super) fn settle_conflicts(&mut self, view: &View<'_>) {
+        let known = view.replica.revision;
         let (ready, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.conflicts)
             .into_iter()
             .partition(|(r, _)| *r <= known);
         self.conflicts = rest;
         for (_, purpose) in ready {
             log::debug!("region: {purpose:?}: conflict, looking again");
-            self.concluded(purpose, false, v);
+            self.concluded(purpose, false, view);
         }
     }
 
-    pub(super) fn concluded(&mut self, purpose: Purpose, done: bool, v: &View<'_>) {
+    pub(super) fn concluded(&mut self, purpose: Purpose, done: bool, view: &View<'_>) {
         match purpose {
             Purpose::Progress(id, set) => {
                 if let Some(j) = self.jobs.get_mut(&id) {
@@ -52,7 +52,7 @@
                             self.unwritten.remove(&id);
                         }
                     }
-                    self.write_progress(&id, v);
+                    self.write_progress(&id, view);
                 }
             }
             Purpose::Finish(id) => {
@@ -60,7 +60,7 @@
                     j.writing = false;
                 }
                 if !done {
-                    self.on_progress(&id, v);
+                    self.on_progress(&id, view);
                 }
             }
             Purpose::Share(team) => {
@@ -78,7 +78,7 @@
                     }
                 }
                 self.dirty_jobs.insert(id.clone());
-                self.rekey(&id, v);
+                self.rekey(&id, view);
                 self.after_out(&id);
             }
             Purpose::Open(names) => {
@@ -105,11 +105,11 @@
     }
 
     /// Puts finished tasks on record, and the job's end once all are.
-    pub(super) fn write_progress(&mut self, id: &JobId, v: &View<'_>) {
+    pub(super) fn write_progress(&mut self, id: &JobId, view: &View<'_>) {
         // Guards against an end written over a cancellation: the replica may show the job
         // cancelled, with the revision to rely on, before we come to that event, when
         // the last task's progress stands before it in the same answer.
-        if v.over(id) {
+        if view.over(id) {
             return;
         }
         let when = self.when();
@@ -119,9 +119,9 @@
         if job.writing || job.over || job.spec.kind == Kind::Service {
             return;
         }
-        let mut all = v.replica.done_tasks(id);
+        let mut all = view.replica.done_tasks(id);
         all.add_all(&job.pending);
-        let job_mark = v.replica.mark(&Key::Job(id.to_string()));
+        let job_mark = view.replica.mark(&Key::Job(id.to_string()));
         let complete = job.complete(all.len());
         if complete {
             let mut apply = vec![(
@@ -131,11 +131,11 @@
                     spec: None,
                     parts: Vec::new(),
                     joint: None,
-                    ended: Some(v.wall),
+                    ended: Some(view.wall),
                 })),
             )];
-            if let Some(chunks) = v.replica.progress.get(&**id) {
-                for (r, c) in chunks.keys().take(v.settings.txn_ops - 1) {
+            if let Some(chunks) = view.replica.progress.get(&**id) {
+                for (r, c) in chunks.keys().take(view.settings.txn_ops - 1) {
                     apply.push((Key::Progress(id.to_string(), r.clone(), *c), None));
                 }
             }
@@ -159,22 +159,22 @@
         // service's rate asks for; but at once where another region waits for
         // them, since it can't see our share of the job otherwise.
         let here = job.mine.len() < job.spec.tasks && job.done.len() >= job.mine.len();
-        let gap = (self.unwritten.len() * v.settings.size()) as f64
-            / (v.settings.store_writes_least * 0.15)
+        let gap = (self.unwritten.len() * view.settings.size()) as f64
+            / (view.settings.store_writes_least * 0.15)
             * 1e6;
         let gap = (gap as Micros).max(3 * SECOND);
-        let job_age = v.now.saturating_sub(job.last_write);
+        let job_age = view.now.saturating_sub(job.last_write);
         if job.pending.is_empty() || (!here && job_age < gap) || job_age < SECOND {
             return;
         }
-        job.last_write = v.now;
+        job.last_write = view.now;
         let mut when = when;
         // A job that was moved or ended meanwhile is looked at again first.
         when.push((Key::Job(id.to_string()), job_mark));
         let mut apply = Vec::new();
         let mut written = RangeSet::default();
         let mut chunk_done: Option<u32> = None;
-        let most = (v.settings.txn_ops - 1).min(8);
+        let most = (view.settings.txn_ops - 1).min(8);
         for (s, e) in job.pending.iter() {
             for chunk in s / CHUNK..=(e - 1) / CHUNK {
                 let (a, b) = (s.max(chunk * CHUNK), e.min((chunk + 1) * CHUNK));
@@ -189,7 +189,7 @@
                 written.add(a, b);
                 let key = Key::Progress(id.to_string(), self.name.clone(), chunk);
                 let mut set = RangeSet::default();
-                if let Some(old) = v
+                if let Some(old) = view
                     .replica
                     .progress
                     .get(&**id)
@@ -198,7 +198,7 @@
                     read_bitmap(&old.value, chunk, &mut set);
                 }
                 set.add_all(&job.pending);
-                when.push((key.clone(), v.replica.mark(&key)));
+                when.push((key.clone(), view.replica.mark(&key)));
                 apply.push((key, Some(value(&bitmap(&set, chunk)))));
             }
         }
@@ -219,22 +219,22 @@
     /// Guards against a job whose last tasks two regions put on record at the
     /// same moment, neither of them seeing the other's: whoever then sees that
     /// all are there ends it.
-    pub fn on_progress(&mut self, id: &str, v: &View<'_>) {
+    pub fn on_progress(&mut self, id: &str, view: &View<'_>) {
         let Some((id, job)) = self.jobs.get_key_value(id) else {
             return;
         };
-        if job.complete(v.replica.done_tasks(id).len() + job.pending.len()) {
+        if job.complete(view.replica.done_tasks(id).len() + job.pending.len()) {
             let id = id.clone();
-            self.write_progress(&id, v);
+            self.write_progress(&id, view);
         }
     }
 
     /// What the region may use for a team just now.
-    pub(super) fn headroom(&self, team: &str, v: &View<'_>) -> Amount {
-        if v.settings.team(team).is_some_and(|t| t.limit.is_none()) {
+    pub(super) fn headroom(&self, team: &str, view: &View<'_>) -> Amount {
+        if view.settings.team(team).is_some_and(|t| t.limit.is_none()) {
             return Amount::UNBOUNDED;
         }
-        let rec = v.replica.quotas.get(team).map(|q| &q.value);
+        let rec = view.replica.quotas.get(team).map(|q| &q.value);
         let mut share = quota::share(rec, &self.name);
         match self.shares.get(team) {
             None => share,
@@ -255,21 +255,21 @@
     /// Shares go up by more than is needed just now and down only after a while,
     /// or when other regions find the limit used up: each change counts against
     /// the state service's rate.
-    pub(super) fn share_out(&mut self, v: &View<'_>) {
-        self.count_wants(v);
-        let (regions, settled) = (v.settings.size() as u64, self.settled);
+    pub(super) fn share_out(&mut self, view: &View<'_>) {
+        self.count_wants(view);
+        let (regions, settled) = (view.settings.size() as u64, self.settled);
         let teams: Vec<Rc<str>> = self.shares.keys().cloned().collect();
         for team in teams {
             // A team without a limit needs no share of one.
-            let Some(limit) = v.settings.team(&team).and_then(|t| t.limit) else {
+            let Some(limit) = view.settings.team(&team).and_then(|t| t.limit) else {
                 continue;
             };
-            let rec = v.replica.quotas.get(&*team);
+            let rec = view.replica.quotas.get(&*team);
             let have = quota::share(rec.map(|r| &r.value), &self.name);
             let Some(s) = self.shares.get_mut(&team) else {
                 continue;
             };
-            s.rest(v.now);
+            s.rest(view.now);
             let used = if settled {
                 s.used
             } else {
@@ -280,13 +280,13 @@
             // first, and the others take nothing and give back what they don't use.
             // By age alone a gang of high priority waited for ever while another region's
             // older, lesser jobs followed each other.
-            let yields = v
+            let yields = view
                 .short
                 .get(&*team)
                 .is_some_and(|at| s.turn.is_none_or(|o| *at < o));
             // Guards against a share that is kept for tasks to come while another region
             // has room and lacks it: what runs here will leave its share to them.
-            let ahead = if v.short.contains_key(&*team) {
+            let ahead = if view.short.contains_key(&*team) {
                 s.ahead.minus(used)
             } else {
                 s.ahead
@@ -296,9 +296,9 @@
             } else {
                 used.plus(s.want).plus(ahead)
             };
-            if !target.within(s.peak) || v.now > s.peak_at + PEAK_KEPT {
+            if !target.within(s.peak) || view.now > s.peak_at + PEAK_KEPT {
                 s.peak = target;
-                s.peak_at = v.now;
+                s.peak_at = view.now;
             }
             s.starved = false;
             if s.pending.is_some() {
@@ -313,14 +313,14 @@
                 let more = target.plus(spare(4));
                 let own = quota::propose(rec.map(|r| &r.value), &self.name, limit, more);
                 s.starved = own.as_ref().is_none_or(|(_, new)| !target.within(*new));
-                s.note_hoarding(used, have, v.now);
+                s.note_hoarding(used, have, view.now);
                 match own {
                     Some((_, new)) if more.within(new) => more,
                     _ => target,
                 }
             } else if !settled {
                 continue;
-            } else if v.short.contains_key(&*team) && have != target {
+            } else if view.short.contains_key(&*team) && have != target {
                 target
             } else if !have.within(s.peak.plus(spare(2))) {
                 s.peak.plus(spare(4))
@@ -354,19 +354,19 @@
 
     /// The leader asks for waiting tasks to be given away. Only tasks that are
     /// on no machine move; a job whose tasks must keep together moves whole.
-    pub fn give(&mut self, job: &str, to: &str, count: u32, v: &View<'_>) {
+    pub fn give(&mut self, job: &str, to: &str, count: u32, view: &View<'_>) {
         let when = self.when();
         let Some(id) = self.jobs.get_key_value(job).map(|(k, _)| k.clone()) else {
             return;
         };
-        let Some(rec) = v.replica.jobs.get(job) else {
+        let Some(rec) = view.replica.jobs.get(job) else {
             return;
         };
         let me = self.name.clone();
         let Some(j) = self.jobs.get_mut(&id) else {
             return;
         };
-        if j.over || j.writing || to == me || j.waiting.is_empty() || v.over(job) {
+        if j.over || j.writing || to == me || j.waiting.is_empty() || view.over(job) {
             return;
         }
         let whole = j.spec.kind == Kind::Gang || j.spec.one_zone || j.spec.spread;
@@ -430,7 +430,7 @@
             )],
             lease: None,
         };
-        self.rekey(&id, v);
+        self.rekey(&id, view);
         self.out
             .push(Effect::Commit(txn, Urgency::Next, Purpose::Move(id)));
     }
--- a/src/region/recovery.rs
+++ b/src/region/recovery.rs
@@ -5,7 +5,7 @@
 impl Region {
     /// Ends the accounting once every machine that a former owner may have used
     /// is heard from or provably empty.
-    pub(super) fn try_finish_recovery(&mut self, v: &View<'_>) {
+    pub(super) fn try_finish_recovery(&mut self, view: &View<'_>) {
         if self.settled {
             return;
         }
@@ -19,21 +19,21 @@
         }
         // Guards against records of machines that we can't read: what may be on
         // those is over only when every lease that a former owner gave is.
-        if !v.replica.unreadable.is_empty()
-            && v.now < self.taken_at + stretch(v.settings.lease) + SECOND
+        if !view.replica.unreadable.is_empty()
+            && view.now < self.taken_at + stretch(view.settings.lease) + SECOND
         {
             return;
         }
-        self.finish_recovery(v);
+        self.finish_recovery(view);
     }
 
-    pub(super) fn finish_recovery(&mut self, v: &View<'_>) {
+    pub(super) fn finish_recovery(&mut self, view: &View<'_>) {
         self.settled = true;
         self.dirty_all = true;
         log::info!(
             "region: {}: settled {:.1} s after taking, {} machines",
             self.name,
-            to_secs(v.now - self.taken_at),
+            to_secs(view.now - self.taken_at),
             self.machines.len()
         );
         for s in self.shares.values_mut() {
@@ -46,14 +46,14 @@
             };
             let rest = std::mem::take(&mut job.unsettled);
             if job.waiting.is_empty() {
-                job.wait_since = v.now;
+                job.wait_since = view.now;
             }
             job.waiting.add_all(&rest);
             // A gang of which only a part is left can't go on.
             if job.spec.kind == Kind::Gang && !job.out.is_empty() && !job.waiting.is_empty() {
-                self.break_gang(&id, v);
+                self.break_gang(&id, view);
             }
-            self.rekey(&id, v);
+            self.rekey(&id, view);
         }
     }
 }
--- a/src/region/reports.rs
+++ b/src/region/reports.rs
@@ -5,7 +5,7 @@
 impl Region {
     /// Takes a report and says what to answer. The caller has checked our
     /// authority and checks it again when the answer is written.
-    pub fn on_report(&mut self, r: &Report, v: &View<'_>) -> Verdict {
+    pub fn on_report(&mut self, r: &Report, view: &View<'_>) -> Verdict {
         let Some((name, m)) = self.machines.get_key_value(&*r.machine) else {
             return Verdict::UnknownMachine;
         };
@@ -29,16 +29,16 @@
             return Verdict::Outranked;
         }
         if r.token < self.token {
-            return self.greet(&name, v);
+            return self.greet(&name, view);
         }
         let first = m.standing != Standing::Live;
         let booted = m.order == (0, 0) && m.dealt_at > self.taken_at;
         let sent = m.tasks.values().any(|h| h.place == Place::Sent);
-        let rose = self.listen(&name, r, v);
+        let rose = self.listen(&name, r, view);
         if first {
             log::info!("region: {name}: live in {}", self.name);
             if booted {
-                self.note_arrival(&name, v.now);
+                self.note_arrival(&name, view.now);
             }
             self.awaited.remove(&name);
             self.dirty_machines.insert(name.clone());
@@ -46,7 +46,7 @@
         let mut commands = Vec::new();
         let mut listed: BTreeSet<(JobId, u32)> = BTreeSet::new();
         for t in &r.tasks {
-            self.on_reported(&name, t, v, &mut listed, &mut commands);
+            self.on_reported(&name, t, view, &mut listed, &mut commands);
         }
         let missing: Vec<(JobId, u32, Place)> = self.machines[&name]
             .tasks
@@ -57,16 +57,16 @@
         let unheeded = missing.iter().any(|(_, _, p)| *p == Place::Sent);
         let heeded = sent.then_some(!unheeded);
         for (id, n, _) in missing {
-            self.lost(&id, n, "not on its machine", v);
+            self.lost(&id, n, "not on its machine", view);
         }
-        self.judge_hearing(&name, rose, heeded, v);
+        self.judge_hearing(&name, rose, heeded, view);
         self.relist(&name);
         if !self.settled {
-            self.try_finish_recovery(v);
+            self.try_finish_recovery(view);
         }
-        self.place(v);
-        self.draw(&name, v);
-        self.command(&name, v, &mut commands);
+        self.place(view);
+        self.draw(&name, view);
+        self.command(&name, view, &mut commands);
         Verdict::Commands(commands)
     }
 
@@ -74,11 +74,11 @@
         &mut self,
         machine: &Rc<str>,
         t: &crate::workers::ReportedTask,
-        v: &View<'_>,
+        view: &View<'_>,
         listed: &mut BTreeSet<(JobId, u32)>,
         commands: &mut Vec<Command>,
     ) {
-        let rec = v.replica.jobs.get(&*t.job).map(|r| &r.value);
+        let rec = view.replica.jobs.get(&*t.job).map(|r| &r.value);
         let held = self.machines[machine]
             .tasks
             .get(&(t.job.clone(), t.task))
@@ -86,9 +86,9 @@
         if let OnMachine::Ended(end) = t.stage {
             let ours = held.is_some_and(|(a, p)| a == t.attempt && p != Place::Assigned);
             if ours || end == End::Done {
-                self.on_ended(machine, t, end, ours, v);
+                self.on_ended(machine, t, end, ours, view);
             }
-            let open = !v.over(&t.job);
+            let open = !view.over(&t.job);
             let recorded = self
                 .jobs
                 .get(&t.job)
@@ -107,7 +107,7 @@
                         if let Some(h) = m.tasks.get_mut(&key) {
                             h.place = Place::On(t.stage);
                             if t.stage == OnMachine::Running {
-                                h.ran_at.get_or_insert(v.now);
+                                h.ran_at.get_or_insert(view.now);
                             }
                         }
                     }
@@ -115,7 +115,7 @@
                 listed.insert(key);
             }
             _ => {
-                if self.adopt(machine, t, rec, v) {
+                if self.adopt(machine, t, rec, view) {
                     listed.insert(key);
                 } else {
                     commands.push(Command::Stop(t.job.clone(), t.task, t.attempt, 0));
@@ -131,15 +131,15 @@
         machine: &str,
         t: &crate::workers::ReportedTask,
         rec: Option<&JobRecord>,
-        v: &View<'_>,
+        view: &View<'_>,
     ) -> bool {
-        let over = v.over(&t.job);
+        let over = view.over(&t.job);
         if let (true, Some(spec)) = (over, rec.and_then(|r| r.spec.as_ref())) {
             // Cancelled, but still there: counts against the limit until gone.
-            let narrow_to = narrow_type(spec, v.replica);
+            let narrow_to = narrow_type(spec, view.replica);
             self.jobs.entry(t.job.clone()).or_insert_with(|| Job {
                 over: true,
-                ..Job::new(spec, narrow_to, v.now)
+                ..Job::new(spec, narrow_to, view.now)
             });
         }
         let Some(job) = self.jobs.get(&t.job) else {
@@ -167,7 +167,7 @@
             t.task,
             Place::On(t.stage),
             Some((machine, t.attempt)),
-            v.now,
+            view.now,
         );
         true
     }
@@ -178,7 +178,7 @@
         t: &crate::workers::ReportedTask,
         end: End,
         ours: bool,
-        v: &View<'_>,
+        view: &View<'_>,
     ) {
         let Some(job) = self.jobs.get_mut(&t.job) else {
             return;
@@ -187,7 +187,7 @@
         if end == End::Done && !service {
             if job.over || job.done.contains(t.task) || !job.mine.contains(t.task) {
                 if ours {
-                    self.transition(&t.job, t.task, Place::Done, None, v.now);
+                    self.transition(&t.job, t.task, Place::Done, None, view.now);
                     self.after_out(&t.job);
                 }
                 return;
@@ -229,13 +229,13 @@
                     }
                     continue;
                 }
-                self.transition(&t.job, n, Place::Done, None, v.now);
+                self.transition(&t.job, n, Place::Done, None, view.now);
             }
             if let Some(m) = self.machines.get_mut(machine) {
                 m.failures.succeeded();
             }
             self.after_out(&t.job);
-            self.write_progress(&t.job, v);
+            self.write_progress(&t.job, view);
             return;
         }
         if !ours {
@@ -243,7 +243,7 @@
         }
         log::debug!("region: {}/{}: ended on {machine}: {end:?}", t.job, t.task);
         let wait = match end {
-            End::Error => self.on_failed(machine, &t.job, v),
+            End::Error => self.on_failed(machine, &t.job, view),
             End::Unknown => 5 * SECOND,
             End::Full => {
                 log::info!("region: {machine}: refused {}/{}: full", t.job, t.task);
@@ -256,20 +256,20 @@
             return;
         };
         if wait > 0 {
-            job.not_before = job.not_before.max(v.now + wait);
+            job.not_before = job.not_before.max(view.now + wait);
             self.wake.insert((job.not_before, t.job.clone()));
         }
         let suspect = job.failures.is_suspect();
-        self.lost(&t.job, t.task, "ended", v);
+        self.lost(&t.job, t.task, "ended", view);
         if suspect {
-            self.withdraw_unsent(&t.job, v);
-            let again = v.now + failures::TRY_AGAIN_AFTER + SECOND;
+            self.withdraw_unsent(&t.job, view);
+            let again = view.now + failures::TRY_AGAIN_AFTER + SECOND;
             self.wake.insert((again, t.job.clone()));
         }
     }
 
     /// Adds stops and starts for a machine that was just heard from.
-    pub(super) fn command(&mut self, machine: &str, v: &View<'_>, commands: &mut Vec<Command>) {
+    pub(super) fn command(&mut self, machine: &str, view: &View<'_>, commands: &mut Vec<Command>) {
         let mut withdrawn = Vec::new();
         let Some(m) = self.machines.get_mut(machine) else {
             return;
@@ -290,13 +290,13 @@
         for ((id, n), h) in m.tasks.iter_mut() {
             // Guards against starts of jobs whose cancellation was confirmed while
             // the state service refuses us: what we know is some seconds old.
-            if commands.len() >= MAX_COMMANDS || !v.starts {
+            if commands.len() >= MAX_COMMANDS || !view.starts {
                 break;
             }
             if h.place == Place::Assigned && h.stop.is_none() && !h.wait_go {
                 self.unsent.remove(&(h.since, id.clone(), *n));
                 h.place = Place::Sent;
-                h.since = v.now;
+                h.since = view.now;
                 log::debug!(
                     "region: {id}/{n}: start on {machine}, attempt {}",
                     h.attempt
@@ -305,8 +305,8 @@
             }
         }
         for (id, n) in withdrawn {
-            self.transition(&id, n, Place::Waiting, None, v.now);
-            self.rekey(&id, v);
+            self.transition(&id, n, Place::Waiting, None, view.now);
+            self.rekey(&id, view);
         }
     }
 }
