--- a/src/leader.rs
+++ b/src/leader.rs
@@ -403,6 +403,9 @@
         self.boots.expire(view.now);
         self.look_at_rooms(view, reports, fleet);
         self.lead_joint(view, reports);
+        // What one region has found of a job holds for its tasks in all others.
+        let lines = reports.values().flat_map(|(r, _)| &r.waits);
+        let failing: BTreeSet<&str> = lines.filter(|w| w.stuck).map(|w| w.job.as_str()).collect();
         let mut waits: Vec<Wait> = Vec::new();
         for (r, at) in reports.values() {
             if view.now > at + 3 * SECOND {
@@ -427,7 +430,7 @@
                     since: w.since_us,
                     narrow: narrow_type(spec, view.replica),
                     short: r.short.iter().any(|(t, _)| *t == spec.team),
-                    suspect: w.stuck,
+                    suspect: failing.contains(w.job.as_str()),
                 });
             }
         }
--- a/src/leader/rebinding.rs
+++ b/src/leader/rebinding.rs
@@ -45,6 +45,12 @@
             let narrow = w.narrow.is_some();
             let whole = w.whole();
             let patient = w.since < 700 * MILLI || self.moved.contains_key(&w.id);
+            // Guards against a job that fails wherever it runs being spread over all
+            // regions, each of which would have to find that out anew.
+            let holds = |r: &Room| r.region == w.region && r.at_most(&w.spec, narrow) > 0;
+            if w.suspect && rooms.iter().any(holds) {
+                continue;
+            }
             if w.count == 0 || patient || *most == 0 || (whole && w.count != w.spec.tasks as u64) {
                 continue;
             }
--- a/src/region/failures.rs
+++ b/src/region/failures.rs
@@ -144,7 +144,7 @@
         let Some(job) = self.jobs.get(id) else {
             return;
         };
-        log::warn!(
+        log::info!(
             "region: {id}: team {}, class {}: failed on {} machines without a result, \
              tried again now and then",
             job.spec.team,
