--- a/src/sim/partial_failures.rs
+++ b/src/sim/partial_failures.rs
@@ -212,3 +212,43 @@
         "rented with and without: {rented:?}"
     );
 }
+
+/// A flood of one-task jobs of a team without guarantee and limit: all are served, and each
+/// costs three changes of records: accepted, bound, done. A few are moved to another region
+/// once, which is a fourth.
+#[test]
+fn a_one_task_job_costs_three_changes() {
+    let p = Plan {
+        seed: 3,
+        faults: Vec::new(),
+        jobs: 0,
+        end: 60 * S,
+        load: Load::Mixed,
+    };
+    fastrand::seed(p.seed);
+    let mut world = World::new(&p);
+    let jobs: Vec<String> = (0..240).map(|i| format!("req-{:06}", 500 + i)).collect();
+    for (i, id) in jobs.iter().enumerate() {
+        let spec = json!({"nameId": id, "crop": "x", "crew": "guest", "furrow": "batch", "rank": "low",
+            "sheaves": 1, "cores": 0.25, "cards": 0.0, "memoryGb": 0.5, "seed": "img", "sizeGb": 0.5,
+            "plots": null, "field": null, "samePlace": false, "spread": false, "fallow": true,
+            "growthS": 6, "stookS": 0.0, "bindS": 0.0, "harvestS": null});
+        let at = 5 * S + i as Micros * S / 8;
+        world.at(at, Event::User(id.clone(), Action::Submit));
+        world
+            .jobs
+            .insert(id.clone(), Job::new(spec, 6 * S, Vec::new()));
+    }
+    world.run(200 * S);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    assert!(world.left_open().is_empty(), "{:?}", world.left_open());
+    let keys = || world.store.log.iter().map(|(_, key, _)| key.as_str());
+    let mut moved = 0;
+    for id in &jobs {
+        let own = keys().filter(|k| k.contains(id.as_str())).count();
+        assert!((3..=4).contains(&own), "{id}: {own} changes");
+        moved += own - 3;
+    }
+    assert!(moved * 10 < jobs.len(), "{moved} of {} moved", jobs.len());
+    assert_eq!(keys().filter(|k| k.contains("quota")).count(), 0);
+}
