--- a/src/region.rs
+++ b/src/region.rs
@@ -9,20 +9,27 @@
 mod failures;
 mod gangs;
 mod hearing;
+mod job;
 mod jobs;
 mod list;
+mod machine;
 mod machine_records;
 mod machine_watch;
 mod machines;
+mod measured;
 mod placing;
 mod preemption;
 mod records;
 mod recovery;
 mod reports;
+mod share;
+mod task;
 
 pub use boots::LEAST_OVERDUE;
+pub use machine::Standing;
 pub use machine_watch::LEAST_AGE;
 pub use placing::{latest_start, narrow_type, waiting_spans, NarrowMemory};
+pub use task::Place;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -43,242 +50,13 @@
 use boots::BootHistory;
 use failures::{JobFailures, MachineFailures};
 use hearing::Ear;
+use job::Job;
 use list::{fits, GroupKey, List, Listed, Room};
+use machine::Machine;
+use measured::Measured;
 use placing::{Hold, OrderKey};
-
-/// Where a task is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Place {
-    /// On no machine, free to be started.
-    Waiting,
-    /// A former owner may have started it: on a machine not yet accounted for.
-    Unsettled,
-    /// On no machine; a commit that gives it to another region is under way.
-    Moving,
-    /// Meant for a machine, the start not yet sent.
-    Assigned,
-    /// The start is in an answer; the next report tells.
-    Sent,
-    /// Reported by its machine.
-    On(OnMachine),
-    /// Done.
-    Done,
-}
-
-/// A task on (or meant for) a machine.
-#[derive(Debug, Clone)]
-struct Held {
-    attempt: u64,
-    place: Place,
-    need: Amount,
-    mem: u64,
-    team: Rc<str>,
-    /// Fits no other type of machine.
-    narrow: bool,
-    /// Started under our own token.
-    fresh: bool,
-    /// Of a gang over several regions: not before all parts have room.
-    wait_go: bool,
-    /// Its machine was not known to have the image.
-    brings: bool,
-    /// Must go: with this grace.
-    stop: Option<Micros>,
-    /// When it was meant for the machine, sent, or found.
-    since: Micros,
-    /// When it was first reported as running.
-    ran_at: Option<Micros>,
-}
-
-impl Held {
-    fn room(&self) -> Room {
-        (self.need.cpus, self.need.gpus, self.mem)
-    }
-}
-
-/// How a machine stands with us.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Standing {
-    /// Not heard from under our token.
-    Expected,
-    /// Heard from under our token.
-    Live,
-    /// Silent for longer than its lease: nothing is on it.
-    Empty,
-}
-
-#[derive(Debug)]
-struct Machine {
-    rec: MachineRecord,
-    group: GroupKey,
-    cap: Room,
-    used: Room,
-    /// Of these, by tasks that fit on other types too.
-    wide: Room,
-    listed: Listed,
-    standing: Standing,
-    order: (u64, u64),
-    /// Our last 200 to it, or the last time a former owner may have sent one.
-    last_ok: Micros,
-    /// The last newer report under our token, or when we came to know of it.
-    heard_at: Micros,
-    /// Since when its reports come and are answered without a break.
-    answered_since: Micros,
-    /// Answers to reports that didn't carry our token, since one did.
-    greeted: u32,
-    ear: Ear,
-    dealt_at: Micros,
-    boot: Micros,
-    notice: Option<Micros>,
-    tasks: BTreeMap<(JobId, u32), Held>,
-    idle_since: Micros,
-    failures: MachineFailures,
-    images: BTreeSet<String>,
-    closed: Option<&'static str>,
-    releasing: bool,
-    gone: bool,
-    /// Should have been up by now.
-    late: bool,
-    /// When it is looked at next.
-    due: Micros,
-}
-
-impl Machine {
-    fn free(&self) -> Room {
-        list::less(self.cap, self.used)
-    }
-
-    /// Whether the level-two list may name it, now or once it is up.
-    fn usable(&self) -> bool {
-        self.closed.is_none() && self.notice.is_none() && !self.gone && self.cap != (0, 0, 0)
-    }
-
-    /// Whether it holds work of the kind that it is there for: on a type that is kept
-    /// for some jobs, theirs.
-    fn serves(&self, kept: bool) -> bool {
-        self.tasks.values().any(|h| h.narrow || !kept)
-    }
-
-    fn open(&self) -> bool {
-        self.standing == Standing::Live && self.rec.opened && self.usable()
-    }
-}
-
-#[derive(Debug)]
-struct Job {
-    spec: Rc<JobSpec>,
-    /// Tasks bound here.
-    mine: RangeSet,
-    waiting: RangeSet,
-    unsettled: RangeSet,
-    moving: RangeSet,
-    done: RangeSet,
-    /// Done, but not yet on record.
-    pending: RangeSet,
-    out: BTreeMap<u32, Rc<str>>,
-    over: bool,
-    wait_since: Micros,
-    /// When a task of it was last assigned to a machine, or when it was bound here.
-    last_assigned: Micros,
-    not_before: Micros,
-    failures: JobFailures,
-    writing: bool,
-    last_write: Micros,
-    breaking: bool,
-    narrow_to: Option<String>,
-    /// Its place in the order of waiting jobs.
-    key: Option<OrderKey>,
-    /// Its team's share was too small last time.
-    short: bool,
-    /// Of a gang over several regions: what its parts have in common.
-    joint: Option<Joint>,
-    given_up: bool,
-    /// The joint attempt that was started last, and since when room is held for
-    /// one that was not.
-    tried: u64,
-    held_since: Option<Micros>,
-}
-
-impl Job {
-    fn new(spec: &Rc<JobSpec>, narrow_to: Option<String>, now: Micros) -> Self {
-        Job {
-            spec: spec.clone(),
-            mine: RangeSet::default(),
-            waiting: RangeSet::default(),
-            unsettled: RangeSet::default(),
-            moving: RangeSet::default(),
-            done: RangeSet::default(),
-            pending: RangeSet::default(),
-            out: BTreeMap::new(),
-            over: false,
-            wait_since: now,
-            last_assigned: now,
-            not_before: 0,
-            failures: JobFailures::default(),
-            writing: false,
-            last_write: 0,
-            breaking: false,
-            narrow_to,
-            key: None,
-            short: false,
-            joint: None,
-            given_up: false,
-            tried: 0,
-            held_since: None,
-        }
-    }
-
-    /// Whether so many results are all there will be. A gang's tasks complete
-    /// together: one is enough. Guards against a gang over several regions of which
-    /// one part's result is known and the other's machine is gone: that part would
-    /// wait for ever for mates that are done.
-    fn complete(&self, results: u32) -> bool {
-        let any = is_left_out(Guard::CompleteResults) && results > 0;
-        any || results >= self.spec.tasks || (self.spec.kind == Kind::Gang && results > 0)
-    }
-
-    /// How many of its tasks are to be started or moved now: of a suspect array one at a
-    /// time, so that it takes neither machines nor shares from others; one more after a
-    /// while, since a try may take long.
-    fn wanted(&self, now: Micros) -> u32 {
-        let waiting = self.waiting.len();
-        if !self.failures.is_suspect() || self.spec.kind == Kind::Gang {
-            waiting
-        } else if self.out.is_empty() || now > self.last_assigned + failures::TRY_AGAIN_AFTER {
-            waiting.min(1)
-        } else {
-            0
-        }
-    }
-
-    /// All of a gang's tasks here wait, and under a joint attempt that was tried:
-    /// only another attempt lets it start.
-    fn stuck(&self) -> bool {
-        self.joint.as_ref().is_some_and(|j| j.0 == self.tried)
-            && self.out.is_empty()
-            && self.waiting.len() == self.mine.len()
-    }
-}
-
-/// What finished tasks that fit many types took, and what their owners had said;
-/// what is older weighs less.
-#[derive(Debug, Default)]
-struct Measured {
-    said: f64,
-    took: f64,
-    at: Micros,
-}
-
-impl Measured {
-    /// How fast it forgets.
-    const SPAN: f64 = 90.0 * SECOND as f64;
-
-    fn add(&mut self, s: &JobSpec, took: Micros, now: Micros) {
-        let fade = (-(now.saturating_sub(self.at) as f64) / Self::SPAN).exp();
-        self.at = now;
-        self.said = self.said * fade + (s.cpus * s.estimate) as f64;
-        self.took = self.took * fade + (s.cpus * took) as f64;
-    }
-}
+use share::Share;
+use task::Held;
 
 /// Whose turn it is among a team's jobs when its limit is short, over all regions; the
 /// least goes first: by priority, then by age.
@@ -326,58 +104,6 @@
     UnknownMachine,
 }
 
-#[derive(Debug, Default)]
-struct Share {
-    used: Amount,
-    /// Of these, started under our own token.
-    fresh: Amount,
-    /// Counted as used until all machines are accounted for.
-    inherited: Amount,
-    want: Amount,
-    /// The same for tasks that there is no room for yet.
-    ahead: Amount,
-    /// The [`turn`] of the first of the jobs that want it.
-    turn: Option<u64>,
-    /// A smaller share that is being committed binds at once.
-    pending: Option<Amount>,
-    /// The limit leaves less than waiting tasks need.
-    starved: bool,
-    /// Since when a part of the share is kept unused for a job that lacks the rest.
-    hoarded_since: Option<Micros>,
-    /// Until when such a part is left to other regions.
-    rest_until: Micros,
-    /// The most that was needed lately, and when that was.
-    peak: Amount,
-    peak_at: Micros,
-}
-
-impl Share {
-    /// Follows how long a part of the share `have` is kept unused since its first job needs
-    /// more. Guards against a gang that never gets the rest, since work without end uses it
-    /// in another region: from time to time others may use what is kept.
-    fn note_hoarding(&mut self, used: Amount, have: Amount, now: Micros) {
-        let hoards = self.starved && used != have;
-        if !hoards || is_left_out(Guard::ShareHoldLimit) {
-            self.hoarded_since = None;
-            return;
-        }
-        let since = *self.hoarded_since.get_or_insert(now);
-        if now > since + placing::SHARE_HOLD_LIMIT {
-            self.hoarded_since = None;
-            self.rest_until = now + placing::SHARE_REST;
-        }
-    }
-
-    /// While others may use what is kept, nothing is asked for beyond what runs.
-    fn rest(&mut self, now: Micros) {
-        if now < self.rest_until {
-            self.want = Amount::default();
-            self.ahead = Amount::default();
-            self.turn = None;
-        }
-    }
-}
-
 /// All that a step of the region may look at besides its own state.
 pub struct View<'a> {
     /// Records.
--- /dev/null
+++ b/src/region/measured.rs
@@ -0,0 +1,24 @@
+//! What finished tasks took, against what was said of them.
+
+use super::*;
+
+/// What finished tasks that fit many types took, and what their owners had said;
+/// what is older weighs less.
+#[derive(Debug, Default)]
+pub(super) struct Measured {
+    pub(super) said: f64,
+    pub(super) took: f64,
+    pub(super) at: Micros,
+}
+
+impl Measured {
+    /// How fast it forgets.
+    const SPAN: f64 = 90.0 * SECOND as f64;
+
+    pub(super) fn add(&mut self, s: &JobSpec, took: Micros, now: Micros) {
+        let fade = (-(now.saturating_sub(self.at) as f64) / Self::SPAN).exp();
+        self.at = now;
+        self.said = self.said * fade + (s.cpus * s.estimate) as f64;
+        self.took = self.took * fade + (s.cpus * took) as f64;
+    }
+}
--- /dev/null
+++ b/src/region/share.rs
@@ -0,0 +1,55 @@
+//! What the region uses and needs of a team's limit.
+
+use super::*;
+
+#[derive(Debug, Default)]
+pub(super) struct Share {
+    pub(super) used: Amount,
+    /// Of these, started under our own token.
+    pub(super) fresh: Amount,
+    /// Counted as used until all machines are accounted for.
+    pub(super) inherited: Amount,
+    pub(super) want: Amount,
+    /// The same for tasks that there is no room for yet.
+    pub(super) ahead: Amount,
+    /// The [`turn`] of the first of the jobs that want it.
+    pub(super) turn: Option<u64>,
+    /// A smaller share that is being committed binds at once.
+    pub(super) pending: Option<Amount>,
+    /// The limit leaves less than waiting tasks need.
+    pub(super) starved: bool,
+    /// Since when a part of the share is kept unused for a job that lacks the rest.
+    pub(super) hoarded_since: Option<Micros>,
+    /// Until when such a part is left to other regions.
+    pub(super) rest_until: Micros,
+    /// The most that was needed lately, and when that was.
+    pub(super) peak: Amount,
+    pub(super) peak_at: Micros,
+}
+
+impl Share {
+    /// Follows how long a part of the share `have` is kept unused since its first job needs
+    /// more. Guards against a gang that never gets the rest, since work without end uses it
+    /// in another region: from time to time others may use what is kept.
+    pub(super) fn note_hoarding(&mut self, used: Amount, have: Amount, now: Micros) {
+        let hoards = self.starved && used != have;
+        if !hoards || is_left_out(Guard::ShareHoldLimit) {
+            self.hoarded_since = None;
+            return;
+        }
+        let since = *self.hoarded_since.get_or_insert(now);
+        if now > since + placing::SHARE_HOLD_LIMIT {
+            self.hoarded_since = None;
+            self.rest_until = now + placing::SHARE_REST;
+        }
+    }
+
+    /// While others may use what is kept, nothing is asked for beyond what runs.
+    pub(super) fn rest(&mut self, now: Micros) {
+        if now < self.rest_until {
+            self.want = Amount::default();
+            self.ahead = Amount::default();
+            self.turn = None;
+        }
+    }
+}
--- /dev/null
+++ b/src/region/task.rs
@@ -0,0 +1,52 @@
+//! A task of a job bound to the region: where it is, and what it takes there.
+
+use super::*;
+
+/// Where a task is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Place {
+    /// On no machine, free to be started.
+    Waiting,
+    /// A former owner may have started it: on a machine not yet accounted for.
+    Unsettled,
+    /// On no machine; a commit that gives it to another region is under way.
+    Moving,
+    /// Meant for a machine, the start not yet sent.
+    Assigned,
+    /// The start is in an answer; the next report tells.
+    Sent,
+    /// Reported by its machine.
+    On(OnMachine),
+    /// Done.
+    Done,
+}
+
+/// A task on (or meant for) a machine.
+#[derive(Debug, Clone)]
+pub(super) struct Held {
+    pub(super) attempt: u64,
+    pub(super) place: Place,
+    pub(super) need: Amount,
+    pub(super) mem: u64,
+    pub(super) team: Rc<str>,
+    /// Fits no other type of machine.
+    pub(super) narrow: bool,
+    /// Started under our own token.
+    pub(super) fresh: bool,
+    /// Of a gang over several regions: not before all parts have room.
+    pub(super) wait_go: bool,
+    /// Its machine was not known to have the image.
+    pub(super) brings: bool,
+    /// Must go: with this grace.
+    pub(super) stop: Option<Micros>,
+    /// When it was meant for the machine, sent, or found.
+    pub(super) since: Micros,
+    /// When it was first reported as running.
+    pub(super) ran_at: Option<Micros>,
+}
+
+impl Held {
+    pub(super) fn room(&self) -> Room {
+        (self.need.cpus, self.need.gpus, self.mem)
+    }
+}
