--- /dev/null
+++ b/src/region/hold.rs
@@ -0,0 +1,74 @@
+//! Places kept for the gang whose turn it is.
+
+use super::list::Group;
+use super::*;
+
+/// Places kept for the gang whose turn it is, so that they fill up under steady
+/// small work.
+#[derive(Debug)]
+pub(super) struct Hold {
+    pub job: JobId,
+    pub priority: crate::model::Priority,
+    pub team: String,
+    /// It has room, but its team's share here is too small.
+    pub short: bool,
+    /// Work of higher priority waits: what falls free goes to that first.
+    pub outranked: bool,
+    /// Only machines of this zone are held, if the gang must be in one.
+    pub zone: Option<Rc<str>>,
+    /// When the last of the places is expected to be free.
+    pub until: Micros,
+    pub looked: Micros,
+}
+
+/// For how long a gang that lacks a share of its team's limit keeps a job of the same team
+/// from starting a task. Half of the 90 s for which no job may wait beside free machines,
+/// since a job may have waited in another region before.
+pub(super) const SHARE_HOLD_LIMIT: Micros = 45 * SECOND;
+
+/// For how long other regions may use what is kept for such a gang: time for them to hear
+/// of it, for two changes of shares and a report.
+pub(super) const SHARE_REST: Micros = 10 * SECOND;
+
+/// What a task that runs in the meantime takes beside its run time.
+const BACKFILL_SLACK: Micros = 10 * SECOND;
+
+/// What a job may not use because of a hold.
+pub(super) fn held_back(
+    hold: Option<&Hold>,
+    id: &JobId,
+    job: &Job,
+    key: &GroupKey,
+    g: &Group,
+    view: &View<'_>,
+) -> bool {
+    // Guards against work of higher priority that waits behind a hold while all that it
+    // has stopped for its sake is started again.
+    let Some(h) = hold.filter(|h| h.job != *id && h.priority >= job.spec.priority) else {
+        return false;
+    };
+    if h.zone.as_ref().is_some_and(|z| **z != *key.1) {
+        return false;
+    }
+    // Guards against machines that stand idle for a gang whose team's limit is used up
+    // elsewhere: others take them, those of its own team leave it the share.
+    if h.short && h.team != job.spec.team {
+        return false;
+    }
+    // Guards against a job that waits without end beside free machines while the gang
+    // gathers its team's share from other regions: one task at a time may pass.
+    let waited = view.now.saturating_sub(job.last_assigned);
+    if h.short && waited > SHARE_HOLD_LIMIT && !is_left_out(Guard::ShareHoldLimit) {
+        return false;
+    }
+    // Nor for one that work of higher priority goes before again and again.
+    if h.outranked {
+        return false;
+    }
+    // What is kept clear for narrow tasks is out of the others' reach anyway.
+    if g.kept.is_some() && job.narrow_to.is_none() {
+        return false;
+    }
+    // Work that ends in time may run in the meantime.
+    view.now + job.spec.estimate * 3 / 2 + BACKFILL_SLACK > h.until
+}
--- /dev/null
+++ b/src/region/order.rs
@@ -0,0 +1,193 @@
+//! The order in which waiting jobs are served.
+
+use super::hold::SHARE_HOLD_LIMIT;
+use super::*;
+
+/// The order of waiting jobs, least first; see [`Region::order_key`].
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct OrderKey {
+    /// Its turn has not come for so long that one task of it goes first.
+    pub turn: std::cmp::Reverse<bool>,
+    /// It failed on several machines without a result: after all others.
+    suspect: bool,
+    /// It goes beyond its team's guarantee.
+    pub beyond_guarantee: bool,
+    priority: std::cmp::Reverse<crate::model::Priority>,
+    /// Place of its class in the operators' precedence.
+    precedence: usize,
+    /// None of its aims can be met any more.
+    past_aims: bool,
+    /// No aim presses.
+    relaxed: bool,
+    /// What decides among equals: a time to start by, a size, or the age.
+    weight: u64,
+    submitted: Micros,
+    id: JobId,
+}
+
+/// A job whose latest start is nearer than this goes before shorter ones.
+const PRESSING: Micros = 15 * SECOND;
+
+/// Whatever has waited so long since its submission goes by age from then on. Guards
+/// against a class's largest jobs, or a class whose aims are all past, being passed
+/// over under lasting overload: a minute is left of the four in which they must begin.
+const PATIENCE: Micros = 180 * SECOND;
+
+/// How long after its submission a job may be started and still meet its own
+/// deadline and each aim of its class.
+pub fn waiting_spans<'a>(
+    s: &'a JobSpec,
+    settings: &'a Settings,
+) -> impl Iterator<Item = Micros> + 'a {
+    let deadline = s.deadline.map(|d| d.saturating_sub(s.estimate));
+    let aims = settings
+        .objectives
+        .iter()
+        .filter(|o| o.class.as_deref() == Some(s.class.as_str()))
+        .filter_map(|o| match (o.kind.as_str(), o.within?) {
+            ("wait", w) => Some(w),
+            ("finished", w) => Some(w.saturating_sub(s.estimate)),
+            _ => None,
+        });
+    deadline.into_iter().chain(aims)
+}
+
+/// The time of day by which a job must be started to meet the nearest of its
+/// aims that can still be met: its own deadline, or what its class is expected.
+/// `None` if there was one and it is past; far off if there never was one.
+pub fn latest_start(s: &JobSpec, view: &View<'_>) -> Option<Micros> {
+    let mut any = false;
+    let mut best: Option<Micros> = None;
+    let mut aim = |at: Micros| {
+        any = true;
+        if at >= view.wall {
+            best = Some(best.map_or(at, |b| b.min(at)));
+        }
+    };
+    for span in waiting_spans(s, view.settings) {
+        aim(s.submitted + span);
+    }
+    if any {
+        best
+    } else {
+        Some(s.submitted + 3600 * SECOND)
+    }
+}
+
+impl Region {
+    /// The order in which waiting jobs are served: those within their team's
+    /// guarantee, then priority, then the operators' precedence. Among equals, gangs go
+    /// by their age, so that a large one is never passed over for ever; of the
+    /// others, those that can still meet an aim of their class go before those that
+    /// can't, the pressing ones first, then the short ones: that way the most are in
+    /// time. Also returns after what span this changes by itself.
+    pub(super) fn order_key(
+        &self,
+        id: &JobId,
+        s: &JobSpec,
+        view: &View<'_>,
+    ) -> (OrderKey, Option<Micros>) {
+        let precedence = view
+            .settings
+            .operator
+            .precedence
+            .iter()
+            .position(|c| *c == s.class)
+            .unwrap_or(usize::MAX);
+        let guaranteed = self
+            .guaranteed
+            .get(&s.team)
+            .is_some_and(|last| (s.submitted, &**id) <= (last.0, last.1.as_str()));
+        let suspect = self.jobs.get(id).is_some_and(|j| j.failures.is_suspect());
+        // Guards against work of low priority that never begins while higher priority keeps
+        // coming: once it is old enough a task starts now and then.
+        let turn_in = self.jobs.get(id).and_then(|j| {
+            let never_served = j.out.is_empty() && s.kind == Kind::Array && !suspect;
+            let by_age = (s.submitted + PATIENCE).saturating_sub(view.wall);
+            let by_last = (j.last_assigned + SHARE_HOLD_LIMIT).saturating_sub(view.now);
+            never_served.then_some(by_age.max(by_last))
+        });
+        let key = |past_aims: bool, relaxed: bool, weight: u64| OrderKey {
+            turn: std::cmp::Reverse(turn_in == Some(0)),
+            suspect,
+            beyond_guarantee: !guaranteed,
+            priority: std::cmp::Reverse(s.priority),
+            precedence,
+            past_aims,
+            relaxed,
+            weight,
+            submitted: s.submitted,
+            id: id.clone(),
+        };
+        // One task needs no others' places: it goes by its aims like the rest.
+        let together = s.kind == Kind::Gang && s.tasks > 1;
+        let aged = s.submitted + PATIENCE;
+        if together || view.wall >= aged {
+            let change = turn_in.filter(|span| *span > 0);
+            return (key(false, false, s.submitted), change.map(|c| c + MILLI));
+        }
+        let due = latest_start(s, view);
+        let size = s.estimate.saturating_mul(s.tasks.into()) / 1000 * (s.cpus / 1000).max(1);
+        let pressing = due.is_some_and(|d| d < view.wall + PRESSING);
+        let weight = if pressing { due.unwrap_or(0) } else { size };
+        let change = match due {
+            Some(d) if pressing => d,
+            Some(d) => d - PRESSING,
+            None => aged,
+        };
+        let span = change.min(aged).saturating_sub(view.wall) + MILLI;
+        (key(due.is_none(), !pressing, weight), Some(span))
+    }
+
+    /// Enters a job into the order of waiting jobs, or takes it out.
+    pub(super) fn rekey(&mut self, id: &JobId, view: &View<'_>) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let waits = !job.waiting.is_empty() && !job.over;
+        let (key, again) = if waits {
+            let spec = job.spec.clone();
+            let (k, again) = self.order_key(id, &spec, view);
+            (Some(k), again)
+        } else {
+            (None, None)
+        };
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.key != key {
+            if let Some(old) = job.key.take() {
+                self.ready.remove(&old);
+            }
+            job.key.clone_from(&key);
+            if let Some(k) = key {
+                self.ready.insert(k, id.clone());
+                if let Some(span) = again {
+                    self.wake.insert((view.now + span, id.clone()));
+                }
+            }
+        }
+    }
+
+    /// Follows which jobs fit into their teams' guarantees.
+    pub(super) fn look_at_guarantees(&mut self, view: &View<'_>) {
+        for team in std::mem::take(&mut self.stale_teams) {
+            let last = quota::last_guaranteed(view.replica, view.settings, &team);
+            let was = match &last {
+                Some(l) => self.guaranteed.insert(team.clone(), l.clone()),
+                None => self.guaranteed.remove(&team),
+            };
+            if was != last {
+                let ids: Vec<JobId> = self
+                    .ready
+                    .values()
+                    .filter(|id| self.jobs.get(*id).is_some_and(|j| j.spec.team == team))
+                    .cloned()
+                    .collect();
+                for id in ids {
+                    self.rekey(&id, view);
+                }
+            }
+        }
+    }
+}
--- a/src/region/preemption.rs
+++ b/src/region/preemption.rs
@@ -1,6 +1,6 @@
 //! Stopping work for work that goes before it.
 
-use super::placing::held_back;
+use super::hold::held_back;
 use super::*;
 
 /// A job within its guarantee waits so long for room before others make it.
