--- a/src/region/failures/tests.rs
+++ b/src/region/failures/tests.rs
@@ -99,3 +99,25 @@
     let begun = shop.began.keys().filter(|(j, _)| j == "req-1").count();
     assert_eq!(begun, 400);
 }
+
+/// Failures of unknown jobs, of an older attempt, or told again and again change nothing:
+/// no machine is closed, no job is suspect, and all are reaped.
+#[test]
+fn odd_failures_change_nothing() {
+    let mut shop = Shop::new(4);
+    shop.submit("req-1", "a", "red", 4, 2_000_000, 2 * SECOND);
+    let now = play(&mut shop, 3, 3);
+    let odd: Vec<(String, u32, u64)> = (0..3_000)
+        .map(|n| match n % 2 {
+            0 => (format!("req-{}", 1_000 + n), 0, 1),
+            _ => ("req-1".to_owned(), n % 4, 1),
+        })
+        .collect();
+    for times in 0..5 {
+        let commands = shop.report_failures("m-0", &odd, (now + times) * SECOND);
+        assert!(commands > 0 && commands <= crate::workers::MAX_COMMANDS);
+    }
+    assert_eq!(closed(&shop), [""; 0]);
+    assert!(!shop.r.jobs["req-1"].failures.is_suspect());
+    assert_eq!(shop.r.jobs.len(), 1);
+}
--- a/src/region/tests.rs
+++ b/src/region/tests.rs
@@ -444,6 +444,30 @@
         self.r.report(&self.f.view(now)).waits
     }
 
+    /// A machine reports these tasks as failed; how many commands it gets.
+    pub(super) fn report_failures(
+        &mut self,
+        machine: &str,
+        tasks: &[(String, u32, u64)],
+        now: Micros,
+    ) -> usize {
+        self.tally += 1;
+        let mut rep = report(machine, self.tally, 7, &[]);
+        rep.tasks = tasks
+            .iter()
+            .map(|(job, task, attempt)| ReportedTask {
+                job: Rc::from(job.as_str()),
+                task: *task,
+                attempt: *attempt,
+                stage: OnMachine::Ended(End::Error),
+            })
+            .collect();
+        match self.r.on_report(&rep, &self.f.view(now)) {
+            Verdict::Commands(commands) => commands.len(),
+            other => panic!("{machine}: {other:?}"),
+        }
+    }
+
     /// A second: what is through ends, each machine reports and does what it is
     /// told. `deaf` is told nothing.
     pub(super) fn second(&mut self, now: Micros, deaf: Option<&str>) {
--- a/src/sim.rs
+++ b/src/sim.rs
@@ -299,6 +299,8 @@
     late_writes: Micros,
     /// Until when machines come up late or never.
     bad_boots: Micros,
+    /// Until when users ask thirty times as often.
+    storm: Micros,
     slow_store: Micros,
     cancel_at_end: Micros,
     /// What happened, for tests to see that their day brought it about.
@@ -362,6 +364,8 @@
     released: u32,
     /// Machines that came up late or never.
     bad_boots: u32,
+    /// Questions asked in a storm of them.
+    storm_questions: u32,
     /// Tasks that failed by a mistake of their job.
     failures: u32,
 }
@@ -430,6 +434,7 @@
             troubles_end: 0,
             late_writes: 0,
             bad_boots: 0,
+            storm: 0,
             slow_store: 0,
             cancel_at_end: 0,
             seen: Seen::default(),
@@ -546,6 +551,7 @@
                 | Fault::Freeze(_, d)
                 | Fault::FreezeLeader(d)
                 | Fault::BadBoots(d)
+                | Fault::QuestionStorm(d)
                 | Fault::CutUsers(_, d)
                 | Fault::Alone(_, d, _) => *d,
                 Fault::LateWrites(d) => *d + 12 * SECOND,
--- a/src/sim/faults.rs
+++ b/src/sim/faults.rs
@@ -52,6 +52,8 @@
     FreezeLeader(Micros),
     /// Machines that are rented come up ten times as late, every third never.
     BadBoots(Micros),
+    /// Users ask thirty times as often.
+    QuestionStorm(Micros),
     /// Users don't reach this controller.
     CutUsers(usize, Micros),
     /// A zone is cut off: this controller and the machines that report to it.
@@ -117,6 +119,7 @@
             }
             Fault::LateWrites(d) => self.late_writes = now + d,
             Fault::BadBoots(d) => self.bad_boots = now + d,
+            Fault::QuestionStorm(d) => self.storm = now + d,
             Fault::Freeze(i, d) => self.controllers[i].frozen = now + d,
             Fault::FreezeLeader(d) => {
                 let i = self.leads();
--- a/src/sim/partial_failures.rs
+++ b/src/sim/partial_failures.rs
@@ -99,6 +99,21 @@
             load: Load::Mixed,
             happened: |s| s.thawed > 50 && s.leaders > 1,
         },
+        CompoundFailure {
+            name: "questions thirty times as often, also in a takeover",
+            faults: |r| {
+                let at = 30.0 + r.f64() * 40.0;
+                vec![
+                    (at, Fault::QuestionStorm(60 * S)),
+                    (at + 10.0, Fault::Crash(r.usize(0..3))),
+                    (at + 20.0, Fault::LeaderBlinks),
+                    (at + 25.0, Fault::CancelRunning(4, 0)),
+                    (at + 30.0, Fault::StoreDown(3 * S)),
+                ]
+            },
+            load: Load::Mixed,
+            happened: |s| s.storm_questions > 500 && s.takings > 3,
+        },
         CompoundFailure {
             name: "machines come up late or never, and the leader ends",
             faults: |r| {
--- a/src/sim/users.rs
+++ b/src/sim/users.rs
@@ -52,6 +52,10 @@
 
     pub(super) fn answer_user(&mut self, id: String, what: Action, sent: Micros, r: Response) {
         let again = self.now + SECOND * if what == Action::Poll { 5 } else { 1 };
+        let refused = matches!(r.status, 429 | 503);
+        if refused && r.retry_after.is_none() {
+            self.breaks("no_retry_after", format!("{id}: {what:?}"));
+        }
         if !matches!(r.status, 200 | 201) {
             let accepted = self.jobs[&id].accepted;
             if matches!(r.status, 400 | 422) || (accepted && r.status == 404) {
@@ -121,7 +125,14 @@
             return self.breaks(rule, format!("{id}: {what:?} says {stage}"));
         }
         if what != Action::Abort && (first || what == Action::Poll) {
-            self.at(again + 4 * SECOND, Event::User(id, Action::Poll));
+            let storm = self.now < self.storm;
+            self.seen.storm_questions += u32::from(storm);
+            let next = if storm {
+                self.now + 5 * SECOND / 30
+            } else {
+                again + 4 * SECOND
+            };
+            self.at(next, Event::User(id, Action::Poll));
         }
     }
 }
