--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,13 @@
 //! What the daemon is told at the start: the platform's JSON file and, if the
 //! operators have one, their INI.
 
+mod amount;
+mod operator;
+mod wire;
+
+pub use amount::Amount;
+pub use operator::{parse_ini, Operator};
+
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::Path;
 
@@ -40,112 +47,6 @@
     },
 }
 
-/// The platform's file, by its wire names.
-mod wire {
-    use super::Deserialize;
-
-    #[derive(Deserialize)]
-    pub struct File {
-        pub host_name: String,
-        pub area: String,
-        pub front: String,
-        pub mesh_addr: String,
-        #[serde(default)]
-        pub others: Vec<Other>,
-        pub outside: Outside,
-        pub facts: Facts,
-    }
-
-    #[derive(Deserialize)]
-    pub struct Other {
-        pub host_name: String,
-        pub area: String,
-        pub addr: String,
-    }
-
-    #[derive(Deserialize)]
-    pub struct Outside {
-        pub cloud: String,
-        pub state: String,
-    }
-
-    #[derive(Deserialize)]
-    pub struct Facts {
-        #[serde(default)]
-        pub zones: Vec<String>,
-        pub teams: Vec<Team>,
-        #[serde(default)]
-        pub objectives: Vec<Objective>,
-        pub workers: Workers,
-        pub state: State,
-        pub cloud: Cloud,
-        pub quota: Quota,
-        #[serde(default)]
-        pub clock_off_ms: f64,
-    }
-
-    #[derive(Deserialize)]
-    pub struct Team {
-        pub name: String,
-        #[serde(default)]
-        pub cpus: f64,
-        #[serde(default)]
-        pub cpus_max: f64,
-        #[serde(default)]
-        pub gpus: f64,
-        #[serde(default)]
-        pub gpus_max: f64,
-    }
-
-    #[derive(Deserialize)]
-    pub struct Objective {
-        pub kind: String,
-        pub class: Option<String>,
-        pub within_s: Option<f64>,
-        pub share: Option<f64>,
-    }
-
-    #[derive(Deserialize)]
-    pub struct Workers {
-        pub report_s: f64,
-        pub lease_s: f64,
-        pub gang_wait_s: f64,
-        pub gang_peer_s: f64,
-        pub cancel_s: f64,
-    }
-
-    #[derive(Deserialize)]
-    pub struct State {
-        pub rps: f64,
-        pub write_rps: f64,
-        pub value_kb: f64,
-        pub txn_ops: usize,
-        /// The limits that it will have from some moment on; any part may lack.
-        #[serde(default)]
-        pub next: Option<NextState>,
-    }
-
-    #[derive(Deserialize)]
-    pub struct NextState {
-        pub write_rps: Option<f64>,
-        pub value_kb: Option<f64>,
-        pub txn_ops: Option<usize>,
-    }
-
-    #[derive(Deserialize)]
-    pub struct Cloud {
-        pub rps: f64,
-        pub list_lag_s: f64,
-    }
-
-    #[derive(Deserialize)]
-    pub struct Quota {
-        #[serde(default)]
-        pub ram_mb: f64,
-        pub fd_limit: usize,
-    }
-}
-
 /// Another controller.
 #[derive(Debug, Clone)]
 pub struct Peer {
@@ -168,60 +69,6 @@
     pub limit: Option<Amount>,
 }
 
-/// Processors and cards together, in millionths.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Amount {
-    /// Processors.
-    pub cpus: u64,
-    /// Cards.
-    pub gpus: u64,
-}
-
-impl Amount {
-    /// More than any machines together have.
-    pub const UNBOUNDED: Amount = Amount {
-        cpus: u64::MAX,
-        gpus: u64::MAX,
-    };
-
-    /// Sum, never wrapping.
-    pub fn plus(self, o: Amount) -> Amount {
-        Amount {
-            cpus: self.cpus.saturating_add(o.cpus),
-            gpus: self.gpus.saturating_add(o.gpus),
-        }
-    }
-
-    /// Difference, never below zero.
-    pub fn minus(self, o: Amount) -> Amount {
-        Amount {
-            cpus: self.cpus.saturating_sub(o.cpus),
-            gpus: self.gpus.saturating_sub(o.gpus),
-        }
-    }
-
-    /// `n` times this.
-    pub fn times(self, n: u64) -> Amount {
-        Amount {
-            cpus: self.cpus.saturating_mul(n),
-            gpus: self.gpus.saturating_mul(n),
-        }
-    }
-
-    /// Whether this fits into `o`.
-    pub fn within(self, o: Amount) -> bool {
-        self.cpus <= o.cpus && self.gpus <= o.gpus
-    }
-
-    /// The smaller of each.
-    pub fn min(self, o: Amount) -> Amount {
-        Amount {
-            cpus: self.cpus.min(o.cpus),
-            gpus: self.gpus.min(o.gpus),
-        }
-    }
-}
-
 /// What the users expect of a class of jobs.
 #[derive(Debug, Clone)]
 pub struct Objective {
@@ -235,41 +82,6 @@
     pub share: f64,
 }
 
-/// The operators' own settings, with defaults that suit most sites.
-#[derive(Debug, Clone)]
-pub struct Operator {
-    /// Classes in the order in which they go first, after guarantee and priority.
-    pub precedence: Vec<String>,
-    /// How long a machine may stand idle before it is returned; unless given, as
-    /// long as one of its type takes to boot.
-    pub idle: Option<Micros>,
-    /// How soon waiting work should be under way: beyond it machines are rented.
-    /// Unless given, it follows from the aims of the work's class.
-    pub horizon: Option<Micros>,
-    /// Processors kept beyond those in use, as a share of these.
-    pub headroom: f64,
-    /// The time over which aims are measured for signals.
-    pub alert_window: Micros,
-    /// The fewest jobs in it before a signal is given.
-    pub alert_least: u32,
-    /// How far above an aim it must be to count as met again, as a share.
-    pub alert_margin: f64,
-}
-
-impl Default for Operator {
-    fn default() -> Self {
-        Operator {
-            precedence: Vec::new(),
-            idle: None,
-            horizon: None,
-            headroom: 0.3,
-            alert_window: 300 * units::SECOND,
-            alert_least: 5,
-            alert_margin: 0.05,
-        }
-    }
-}
-
 /// Everything the daemon is told.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -524,53 +336,6 @@
     })
 }
 
-/// Reads the operators' INI. Unknown sections and keys are refused: a misspelt
-/// key that is passed over would be found out on the night it matters.
-pub fn parse_ini(file: &str, text: &str, base: Operator) -> Result<Operator, SettingsError> {
-    let bad = |field: String, cause: String| SettingsError::Field {
-        file: file.into(),
-        field,
-        cause,
-    };
-    let ini = ini::Ini::load_from_str(text).map_err(|e| SettingsError::Form {
-        file: file.into(),
-        cause: e.to_string(),
-    })?;
-    let mut op = base;
-    for (section, props) in ini.iter() {
-        for (key, value) in props.iter() {
-            let field = format!("{}.{key}", section.unwrap_or(""));
-            let number = |low: f64, high: f64| -> Result<f64, SettingsError> {
-                match value.trim().parse::<f64>() {
-                    Ok(s) if (low..=high).contains(&s) => Ok(s),
-                    _ => Err(bad(
-                        field.clone(),
-                        format!("\"{value}\" is not a number from {low} to {high}"),
-                    )),
-                }
-            };
-            let seconds = |low: f64, high: f64| number(low, high).map(units::secs);
-            match (section, key) {
-                (Some("classes"), "precedence") => {
-                    op.precedence = value
-                        .split(',')
-                        .map(|c| c.trim().to_owned())
-                        .filter(|c| !c.is_empty())
-                        .collect();
-                }
-                (Some("renting"), "idle_s") => op.idle = Some(seconds(1.0, 3600.0)?),
-                (Some("renting"), "horizon_s") => op.horizon = Some(seconds(1.0, 3600.0)?),
-                (Some("renting"), "headroom") => op.headroom = number(0.0, 10.0)?,
-                (Some("alerts"), "window_s") => op.alert_window = seconds(10.0, 86_400.0)?,
-                (Some("alerts"), "least_jobs") => op.alert_least = number(1.0, 1e6)? as u32,
-                (Some("alerts"), "margin") => op.alert_margin = number(0.0, 1.0)?,
-                _ => return Err(bad(field.clone(), "unknown key".into())),
-            }
-        }
-    }
-    Ok(op)
-}
-
 #[cfg(test)]
 #[allow(missing_docs)]
 pub mod tests;
--- /dev/null
+++ b/src/settings/operator.rs
@@ -0,0 +1,85 @@
+//! The operators' own settings, an INI file beside the platform's.
+
+use super::*;
+
+/// The operators' own settings, with defaults that suit most sites.
+#[derive(Debug, Clone)]
+pub struct Operator {
+    /// Classes in the order in which they go first, after guarantee and priority.
+    pub precedence: Vec<String>,
+    /// How long a machine may stand idle before it is returned; unless given, as
+    /// long as one of its type takes to boot.
+    pub idle: Option<Micros>,
+    /// How soon waiting work should be under way: beyond it machines are rented.
+    /// Unless given, it follows from the aims of the work's class.
+    pub horizon: Option<Micros>,
+    /// Processors kept beyond those in use, as a share of these.
+    pub headroom: f64,
+    /// The time over which aims are measured for signals.
+    pub alert_window: Micros,
+    /// The fewest jobs in it before a signal is given.
+    pub alert_least: u32,
+    /// How far above an aim it must be to count as met again, as a share.
+    pub alert_margin: f64,
+}
+
+impl Default for Operator {
+    fn default() -> Self {
+        Operator {
+            precedence: Vec::new(),
+            idle: None,
+            horizon: None,
+            headroom: 0.3,
+            alert_window: 300 * units::SECOND,
+            alert_least: 5,
+            alert_margin: 0.05,
+        }
+    }
+}
+
+/// Reads the operators' INI. Unknown sections and keys are refused: a misspelt
+/// key that is passed over would be found out on the night it matters.
+pub fn parse_ini(file: &str, text: &str, base: Operator) -> Result<Operator, SettingsError> {
+    let bad = |field: String, cause: String| SettingsError::Field {
+        file: file.into(),
+        field,
+        cause,
+    };
+    let ini = ini::Ini::load_from_str(text).map_err(|e| SettingsError::Form {
+        file: file.into(),
+        cause: e.to_string(),
+    })?;
+    let mut op = base;
+    for (section, props) in ini.iter() {
+        for (key, value) in props.iter() {
+            let field = format!("{}.{key}", section.unwrap_or(""));
+            let number = |low: f64, high: f64| -> Result<f64, SettingsError> {
+                match value.trim().parse::<f64>() {
+                    Ok(s) if (low..=high).contains(&s) => Ok(s),
+                    _ => Err(bad(
+                        field.clone(),
+                        format!("\"{value}\" is not a number from {low} to {high}"),
+                    )),
+                }
+            };
+            let seconds = |low: f64, high: f64| number(low, high).map(units::secs);
+            match (section, key) {
+                (Some("classes"), "precedence") => {
+                    op.precedence = value
+                        .split(',')
+                        .map(|c| c.trim().to_owned())
+                        .filter(|c| !c.is_empty())
+                        .collect();
+                }
+                (Some("renting"), "idle_s") => op.idle = Some(seconds(1.0, 3600.0)?),
+                (Some("renting"), "horizon_s") => op.horizon = Some(seconds(1.0, 3600.0)?),
+                (Some("renting"), "headroom") => op.headroom = number(0.0, 10.0)?,
+                (Some("alerts"), "window_s") => op.alert_window = seconds(10.0, 86_400.0)?,
+                (Some("alerts"), "least_jobs") => op.alert_least = number(1.0, 1e6)? as u32,
+                (Some("alerts"), "margin") => op.alert_margin = number(0.0, 1.0)?,
+                _ => return Err(bad(field.clone(), "unknown key".into())),
+            }
+        }
+    }
+    Ok(op)
+}
