--- a/src/region/machine_records.rs
+++ b/src/region/machine_records.rs
@@ -105,13 +105,7 @@
             return;
         }
         self.rolling = true;
-        let txn = Txn {
-            when,
-            apply,
-            lease: None,
-        };
-        self.out
-            .push(Effect::Commit(txn, Urgency::Next, Purpose::Open(names)));
+        self.commit(when, apply, Urgency::Next, Purpose::Open(names));
     }
 
     pub(super) fn write_gone(&mut self, view: &View<'_>) {
@@ -156,12 +150,6 @@
             return;
         }
         self.forgetting = true;
-        let txn = Txn {
-            when,
-            apply,
-            lease: None,
-        };
-        self.out
-            .push(Effect::Commit(txn, Urgency::Later, Purpose::Forget(names)));
+        self.commit(when, apply, Urgency::Later, Purpose::Forget(names));
     }
 }
--- a/src/region/records.rs
+++ b/src/region/records.rs
@@ -104,6 +104,22 @@
         vec![(Key::Region(self.name.clone()), self.mark)]
     }
 
+    /// Has changes committed that rely on these revisions.
+    pub(super) fn commit(
+        &mut self,
+        when: Vec<(Key, u64)>,
+        apply: Vec<(Key, Option<serde_json::Value>)>,
+        urgency: Urgency,
+        purpose: Purpose,
+    ) {
+        let txn = Txn {
+            when,
+            apply,
+            lease: None,
+        };
+        self.out.push(Effect::Commit(txn, urgency, purpose));
+    }
+
     /// Puts finished tasks on record, and the job's end once all are.
     pub(super) fn write_progress(&mut self, id: &JobId, view: &View<'_>) {
         // Guards against an end written over a cancellation: the replica may show the job
@@ -142,16 +158,7 @@
             let mut when = when;
             when.push((Key::Job(id.to_string()), job_mark));
             job.writing = true;
-            let txn = Txn {
-                when,
-                apply,
-                lease: None,
-            };
-            self.out.push(Effect::Commit(
-                txn,
-                Urgency::First,
-                Purpose::Finish(id.clone()),
-            ));
+            self.commit(when, apply, Urgency::First, Purpose::Finish(id.clone()));
             return;
         }
         // A result that is lost costs little: the task, started again, ends as soon
@@ -203,16 +210,12 @@
             }
         }
         job.writing = true;
-        let txn = Txn {
+        self.commit(
             when,
             apply,
-            lease: None,
-        };
-        self.out.push(Effect::Commit(
-            txn,
             Urgency::Later,
             Purpose::Progress(id.clone(), written),
-        ));
+        );
     }
 
     /// Finished tasks of a job came on record, perhaps those of another region.
@@ -339,16 +342,8 @@
             let key = Key::Quota(team.to_string());
             let mut when = vec![(Key::Region(self.name.clone()), self.mark)];
             when.push((key.clone(), rec.map_or(0, |r| r.mark)));
-            let txn = Txn {
-                when,
-                apply: vec![(key, Some(value(&q)))],
-                lease: None,
-            };
-            self.out.push(Effect::Commit(
-                txn,
-                Urgency::Next,
-                Purpose::Share(team.to_string()),
-            ));
+            let apply = vec![(key, Some(value(&q)))];
+            self.commit(when, apply, Urgency::Next, Purpose::Share(team.to_string()));
         }
     }
 
@@ -418,20 +413,15 @@
         let mut when = when;
         let key = Key::Job(job.to_owned());
         when.push((key.clone(), rec.mark));
-        let txn = Txn {
-            when,
-            apply: vec![(
-                key,
-                Some(value(&JobRecord {
-                    parts,
-                    joint,
-                    ..rec.value.clone()
-                })),
-            )],
-            lease: None,
-        };
+        let apply = vec![(
+            key,
+            Some(value(&JobRecord {
+                parts,
+                joint,
+                ..rec.value.clone()
+            })),
+        )];
         self.rekey(&id, view);
-        self.out
-            .push(Effect::Commit(txn, Urgency::Next, Purpose::Move(id)));
+        self.commit(when, apply, Urgency::Next, Purpose::Move(id));
     }
 }
