--- a/src/reactor/net.rs
+++ b/src/reactor/net.rs
@@ -42,7 +42,7 @@
 /// One outgoing call.
 #[derive(Debug)]
 pub struct Call {
-    /// Which destination, as given to [`Reactor::new`].
+    /// Which destination, as given to [`Reactor::new`](super::Reactor::new).
     pub dest: usize,
     /// Request method.
     pub method: &'static str,
