Old work that never began has its turn by age, one job a region in five seconds

Of old jobs of one task each all would have gone ahead of the order at once, and under long overload old work of higher priority would have taken every turn.

--- a/src/region.rs
+++ b/src/region.rs
@@ -195,6 +195,8 @@
     next_tick: Micros,
     next_share: Micros,
     next_preempt: Micros,
+    /// When old work that never began may go first again.
+    next_turn: Micros,
 }
 
 impl Region {
@@ -244,6 +246,7 @@
             next_tick: 0,
             next_share: 0,
             next_preempt: 0,
+            next_turn: 0,
         };
         for (machine, rec) in &view.replica.machines {
             if rec.value.region == name {
@@ -479,7 +482,7 @@
                 self.break_gang(&id, view);
             }
             self.dirty_jobs.insert(id.clone());
-            self.rekey(&id, view);
+            self.rekey_due(&id, view);
         }
     }
 
--- a/src/region/order.rs
+++ b/src/region/order.rs
@@ -8,6 +8,8 @@
 pub(super) struct OrderKey {
     /// Its turn has not come for so long that one task of it goes first.
     pub turn: std::cmp::Reverse<bool>,
+    /// Of such the oldest is first, whatever its priority; 0 for all others.
+    turn_by_age: Micros,
     /// It failed on several machines without a result: after all others.
     suspect: bool,
     /// It goes beyond its team's guarantee.
@@ -105,10 +107,12 @@
             let never_served = j.out.is_empty() && s.kind == Kind::Array && !suspect;
             let by_age = (s.submitted + PATIENCE).saturating_sub(view.wall);
             let by_last = (j.last_assigned + SHARE_HOLD_LIMIT).saturating_sub(view.now);
-            never_served.then_some(by_age.max(by_last))
+            let by_others = self.next_turn.saturating_sub(view.now);
+            never_served.then_some(by_age.max(by_last).max(by_others))
         });
         let key = |past_aims: bool, relaxed: bool, weight: u64| OrderKey {
             turn: std::cmp::Reverse(turn_in == Some(0)),
+            turn_by_age: if turn_in == Some(0) { s.submitted } else { 0 },
             suspect,
             beyond_guarantee: !guaranteed,
             priority: std::cmp::Reverse(s.priority),
@@ -141,6 +145,16 @@
 
     /// Enters a job into the order of waiting jobs, or takes it out.
     pub(super) fn rekey(&mut self, id: &JobId, view: &View<'_>) {
+        self.update_order(id, false, view);
+    }
+
+    /// A job's time to be looked at has come. Guards against one whose place stays as it
+    /// is for now, since another had its turn: it is to be looked at again.
+    pub(super) fn rekey_due(&mut self, id: &JobId, view: &View<'_>) {
+        self.update_order(id, true, view);
+    }
+
+    fn update_order(&mut self, id: &JobId, due: bool, view: &View<'_>) {
         let Some(job) = self.jobs.get(id) else {
             return;
         };
@@ -155,7 +169,7 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        if job.key != key {
+        if due || job.key != key {
             if let Some(old) = job.key.take() {
                 self.ready.remove(&old);
             }
--- a/src/region/placing.rs
+++ b/src/region/placing.rs
@@ -5,6 +5,9 @@
 
 /// For how many waiting jobs shares are taken ahead of room.
 pub(super) const AHEAD: usize = 3;
+/// How often old work that never began gets a task ahead of the order. Guards against a
+/// flood of old jobs of one task each, all of which would go first.
+const TURN_EVERY: Micros = 5 * SECOND;
 
 impl Region {
     /// Sends waiting tasks to machines: each to the fitting one that holds the
@@ -315,6 +318,12 @@
             if job.wanted(view.now) == 0 {
                 return;
             }
+            let one_only = job.key.as_ref().is_some_and(|k| k.turn.0);
+            if one_only && view.now < self.next_turn {
+                // Another has had its turn: this one is served in the usual order.
+                self.dirty_jobs.insert(id.clone());
+                return;
+            }
             let Some(n) = job.waiting.first() else { return };
             let spec = job.spec.clone();
             // Where the job's other tasks are at this moment binds the next.
@@ -353,11 +362,11 @@
                 }
                 return;
             }
-            let one_only = job.key.as_ref().is_some_and(|k| k.turn.0);
             let attempt = self.next_attempt();
             self.transition(id, n, Place::Assigned, Some((&name, attempt)), view.now);
             if one_only {
                 // The rest of it takes its place in the order again.
+                self.next_turn = view.now + TURN_EVERY;
                 self.dirty_jobs.insert(id.clone());
                 return;
             }
--- a/src/region/tests.rs
+++ b/src/region/tests.rs
@@ -720,3 +720,28 @@
     assert!((150..240).contains(&began), "began at {began} s");
     assert!(shop.starts["req-1"] <= 4, "{} starts", shop.starts["req-1"]);
 }
+
+/// A flood of old one-task jobs of low priority doesn't go ahead of other work as a whole.
+#[test]
+fn a_flood_of_old_jobs_goes_first_one_at_a_time() {
+    let mut shop = Shop::new(3);
+    for n in 0..200 {
+        let id = format!("req-{}", 10_000 + n);
+        shop.submit_with(&id, "guest", ("a", "0"), 1, 2_000_000, 2 * SECOND);
+    }
+    for s in 3..300u64 {
+        let now = s * SECOND;
+        for i in 0..3 {
+            let id = format!("req-{}", s * 10 + i);
+            shop.submit(&id, "a", "blue", 1, 2_000_000, now);
+        }
+        shop.second(now, None);
+        if s == 60 {
+            // What was free at the beginning is taken by then.
+            shop.starts.clear();
+        }
+    }
+    let low = shop.starts.keys().filter(|id| id.len() == 9);
+    let low = low.count();
+    assert!((10..=30).contains(&low), "{low} of the flood began");
+}
