Read-over: one rule for bad boots, one way to find a peer, a turn as one state; no change of behaviour

The rule for a kind in trouble stood in region and leader, finding a peer's place in three files, whether a home is well in two; that a released region is left to others was checked twice. Two fields of the order key are one state. A faulty machine is looked at through revisit_at, which leaves no second entry. Two doc comments said what the code doesn't do.

--- a/src/leader/boots.rs
+++ b/src/leader/boots.rs
@@ -4,7 +4,7 @@
 
 use super::*;
 use crate::mesh::BootLine;
-use crate::region::LEAST_OVERDUE;
+use crate::region::is_boot_trouble;
 
 /// How long an owner's word holds.
 const VALID: Micros = 6 * SECOND;
@@ -28,7 +28,7 @@
 
 impl KindBoots {
     fn in_trouble(self) -> bool {
-        self.overdue >= LEAST_OVERDUE && self.overdue > self.arrived
+        is_boot_trouble(self.overdue, self.arrived)
     }
 }
 
--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -117,12 +117,7 @@
             .regions
             .get(from)
             .map(|r| r.value.owner.clone());
-        let at = self
-            .settings
-            .peers
-            .iter()
-            .position(|p| Some(&p.name) == owner.as_ref());
-        if let Some(i) = at {
+        if let Some(i) = owner.and_then(|o| self.peer_index(&o)) {
             self.reactor.send(i, &mesh::encode(&m));
         }
     }
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -65,18 +65,28 @@
             .collect();
         let leader = self.registry.replica.leader.as_ref();
         let leader = leader.map(|l| l.value.holder.clone()).unwrap_or_default();
-        let peer = self.settings.peers.iter().position(|p| p.name == leader);
-        let understands = self.peers.get(&leader);
-        let understands = understands.is_some_and(|p| p.understands_extensions);
+        let peer = self.peer_with_extensions(&leader);
         for m in told {
             match peer {
-                Some(i) if understands => self.reactor.send(i, &mesh::encode(&m)),
+                Some(i) => self.reactor.send(i, &mesh::encode(&m)),
                 None if self.leader.is_some() => self.on_message(m),
-                _ => {}
+                None => {}
             }
         }
     }
 
+    /// A peer's place among the reactor's.
+    pub(super) fn peer_index(&self, name: &str) -> Option<usize> {
+        self.settings.peers.iter().position(|p| p.name == name)
+    }
+
+    /// The same for one that understands the messages that came with 0.5.
+    pub(super) fn peer_with_extensions(&self, name: &str) -> Option<usize> {
+        let peer = self.peers.get(name)?;
+        self.peer_index(name)
+            .filter(|_| peer.understands_extensions)
+    }
+
     pub(super) fn on_message(&mut self, m: Message) {
         match m {
             Message::State {
--- a/src/node/reachability.rs
+++ b/src/node/reachability.rs
@@ -87,13 +87,24 @@
 #[derive(Debug, Default)]
 pub(super) struct Releases {
     /// Regions of ours that we released, and until when others may take them first.
-    pub released: BTreeMap<String, Micros>,
+    released: BTreeMap<String, Micros>,
     /// Regions that we took from a home that was well, until when they are kept, and how
     /// often that has happened.
     kept: BTreeMap<String, (Micros, u32)>,
 }
 
 impl Releases {
+    /// Notes that we released a region.
+    fn note_release(&mut self, region: &str, now: Micros) {
+        self.released.insert(region.to_owned(), now + RELEASE_PAUSE);
+    }
+
+    /// Whether a region may be released, that is not again soon after.
+    fn may_release(&self, region: &str, now: Micros) -> bool {
+        let last = self.released.get(region);
+        last.is_none_or(|until| now > *until + KEEP_FROM_HOME)
+    }
+
     /// Whether a region is left to the others for now.
     pub fn is_left(&self, region: &str, now: Micros) -> bool {
         self.released.get(region).is_some_and(|until| now < *until)
@@ -125,12 +136,13 @@
     pub(super) fn unreached_owners(&self) -> Vec<Condition> {
         let regions = self.redirects.seen.keys();
         let asked = regions.filter(|r| !self.regions.contains_key(*r) && self.is_asked_by_most(r));
-        let conditions = asked.map(|r| Condition::OwnerUnreached {
-            region: r.clone(),
-            machines: self.redirects.lasting(r),
-        });
-        conditions
-            .filter(|c| matches!(c, Condition::OwnerUnreached { machines, .. } if *machines >= LEAST_MACHINES))
+        asked
+            .map(|r| (r, self.redirects.lasting(r)))
+            .filter(|(_, machines)| *machines >= LEAST_MACHINES)
+            .map(|(r, machines)| Condition::OwnerUnreached {
+                region: r.clone(),
+                machines,
+            })
             .collect()
     }
 
@@ -151,14 +163,7 @@
             let Some(owner) = record.map(|r| &r.value) else {
                 continue;
             };
-            let peer = self
-                .settings
-                .peers
-                .iter()
-                .position(|p| p.name == owner.owner);
-            let understands = |p: &Peer| p.understands_extensions;
-            let Some(peer) = peer.filter(|_| self.peers.get(&owner.owner).is_some_and(understands))
-            else {
+            let Some(peer) = self.peer_with_extensions(&owner.owner) else {
                 continue;
             };
             let message = Message::Unreached {
@@ -202,7 +207,6 @@
             return;
         }
         let view = view!(self);
-        let released = &self.releases.released;
         let release: Vec<(String, u64)> = self
             .unreached
             .iter()
@@ -213,10 +217,7 @@
                     && news.machines * 2 >= opened
                     && r.hears_few(able_since, &view)
             })
-            .filter(|(r, _)| {
-                let last = released.get(&r.name);
-                last.is_none_or(|until| now > *until + KEEP_FROM_HOME)
-            })
+            .filter(|(r, _)| self.releases.may_release(&r.name, now))
             .map(|(r, _)| (r.name.clone(), r.mark))
             .collect();
         for (name, mark) in release {
@@ -224,9 +225,7 @@
             // From here on nothing is commanded for it, whatever becomes of the commit.
             self.regions.remove(&name);
             self.unreached.remove(&name);
-            self.releases
-                .released
-                .insert(name.clone(), now + RELEASE_PAUSE);
+            self.releases.note_release(&name, now);
             self.give_up(name, mark);
         }
     }
--- a/src/node/regions.rs
+++ b/src/node/regions.rs
@@ -65,7 +65,6 @@
                 None => {
                     let now = self.now;
                     let since = *self.absent.entry(name.clone()).or_insert(now);
-                    let home = home && !self.releases.is_left(&name, now);
                     home || self.is_asked_by_most(&name)
                         || now >= since + HOME_FIRST + fastrand::u64(0..500 * MILLI)
                 }
@@ -127,10 +126,11 @@
             r.tidy(now)
                 && r.name != self.settings.name
                 && !self.releases.is_kept(&r.name, now)
-                && self.peers.get(&r.name).is_some_and(|p| {
-                    p.heard.is_some_and(|h| now < h + 2 * SECOND)
-                        && p.well_since.is_some_and(|w| now > w + RETURN_AFTER)
-                })
+                && self.is_well(&r.name)
+                && self
+                    .peers
+                    .get(&r.name)
+                    .is_some_and(|p| p.well_since.is_some_and(|w| now > w + RETURN_AFTER))
         });
         let Some(r) = back else { return };
         let (name, mark) = (r.name.clone(), r.mark);
--- a/src/region.rs
+++ b/src/region.rs
@@ -28,7 +28,7 @@
 mod share;
 mod task;
 
-pub use boots::LEAST_OVERDUE;
+pub use boots::is_boot_trouble;
 pub use machine::Standing;
 pub use machine_watch::LEAST_AGE;
 pub use narrow::{narrow_type, NarrowMemory};
--- a/src/region/boots.rs
+++ b/src/region/boots.rs
@@ -1,4 +1,4 @@
-//! How machines of a kind come up: which are overdue, and how long those took that came.
+//! How machines of a kind come up: which are overdue, and how many came up lately.
 
 use std::collections::VecDeque;
 
@@ -9,14 +9,19 @@
 const ARRIVAL_VALID: Micros = 120 * SECOND;
 /// Most arrivals that are remembered of a kind; more would say the same.
 const MAX_ARRIVALS: usize = 64;
-/// So many overdue machines, and more than have come up lately, are a trouble of their
-/// kind and not of a machine.
-pub const LEAST_OVERDUE: u32 = 2;
+/// Fewer overdue machines are no trouble of their kind.
+const LEAST_OVERDUE: u32 = 2;
 /// For how many times its boot time a machine is waited for while its whole kind boots
 /// badly, and at most how long.
 const BAD_BOOTS: u64 = 12;
 const MAX_PATIENCE: Micros = 300 * SECOND;
 
+/// Whether a kind as a whole comes up late or never: several machines are overdue, and more
+/// than have come up lately.
+pub fn is_boot_trouble(overdue: u32, arrived: u32) -> bool {
+    overdue >= LEAST_OVERDUE && overdue > arrived
+}
+
 /// What was seen of the boots of one kind of machine.
 #[derive(Debug, Default)]
 pub(super) struct BootHistory {
@@ -34,8 +39,7 @@
 
     /// Whether the kind as a whole comes up late or never.
     fn in_trouble(&self) -> bool {
-        let overdue = self.overdue.len() as u32;
-        overdue >= LEAST_OVERDUE && overdue > self.arrivals.len() as u32
+        is_boot_trouble(self.overdue.len() as u32, self.arrivals.len() as u32)
     }
 }
 
--- a/src/region/failures.rs
+++ b/src/region/failures.rs
@@ -139,7 +139,7 @@
     }
 
     /// A job has turned out to be suspect: its failures no longer speak against machines,
-    /// and what was assigned and not sent yet waits.
+    /// and no places are kept for it.
     fn on_suspect(&mut self, id: &JobId) {
         let Some(job) = self.jobs.get(id) else {
             return;
@@ -196,8 +196,7 @@
         if m.failures.is_faulty() && m.closed.is_none() {
             log::info!("region: {machine}: closed, its tasks keep failing");
             m.closed = Some("faulty");
-            m.due = view.now;
-            self.due.insert((view.now, Rc::from(machine)));
+            self.revisit_at(machine, view.now);
         }
     }
 }
--- a/src/region/order.rs
+++ b/src/region/order.rs
@@ -3,13 +3,20 @@
 use super::hold::SHARE_HOLD_LIMIT;
 use super::*;
 
+/// Whether a job goes ahead of the order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Turn {
+    /// It has not begun for so long that one task of it goes first, the job that was
+    /// submitted first before others, whatever its priority.
+    Ahead(Micros),
+    /// It is served in the usual order.
+    Usual,
+}
+
 /// The order of waiting jobs, least first; see [`Region::order_key`].
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct OrderKey {
-    /// Its turn has not come for so long that one task of it goes first.
-    pub turn: std::cmp::Reverse<bool>,
-    /// Of such the oldest is first, whatever its priority; 0 for all others.
-    turn_by_age: Micros,
+    turn: Turn,
     /// It failed on several machines without a result: after all others.
     suspect: bool,
     /// It goes beyond its team's guarantee.
@@ -27,6 +34,13 @@
     id: JobId,
 }
 
+impl OrderKey {
+    /// Whether one task of the job goes first.
+    pub fn is_ahead(&self) -> bool {
+        matches!(self.turn, Turn::Ahead(_))
+    }
+}
+
 /// A job whose latest start is nearer than this goes before shorter ones.
 const PRESSING: Micros = 15 * SECOND;
 
@@ -111,8 +125,10 @@
             never_served.then_some(by_age.max(by_last).max(by_others))
         });
         let key = |past_aims: bool, relaxed: bool, weight: u64| OrderKey {
-            turn: std::cmp::Reverse(turn_in == Some(0)),
-            turn_by_age: if turn_in == Some(0) { s.submitted } else { 0 },
+            turn: match turn_in {
+                Some(0) => Turn::Ahead(s.submitted),
+                _ => Turn::Usual,
+            },
             suspect,
             beyond_guarantee: !guaranteed,
             priority: std::cmp::Reverse(s.priority),
--- a/src/region/placing.rs
+++ b/src/region/placing.rs
@@ -318,7 +318,7 @@
             if job.wanted(view.now) == 0 {
                 return;
             }
-            let one_only = job.key.as_ref().is_some_and(|k| k.turn.0);
+            let one_only = job.key.as_ref().is_some_and(OrderKey::is_ahead);
             if one_only && view.now < self.next_turn {
                 // Another has had its turn: this one is served in the usual order.
                 self.dirty_jobs.insert(id.clone());
--- a/src/region/tests.rs
+++ b/src/region/tests.rs
@@ -444,6 +444,14 @@
         self.r.report(&self.f.view(now)).waits
     }
 
+    /// More small work of a team than goes in, in this second.
+    fn overload(&mut self, second: u64, team: &str) {
+        for i in 0..3 {
+            let id = format!("req-{}", second * 10 + i);
+            self.submit(&id, "a", team, 1, 2_000_000, second * SECOND);
+        }
+    }
+
     /// A machine reports these tasks as failed; how many commands it gets.
     pub(super) fn report_failures(
         &mut self,
@@ -531,16 +539,7 @@
     for s in 2..240u64 {
         let now = s * SECOND;
         // More small work than goes in, of the same priority and team.
-        for i in 0..3 {
-            shop.submit(
-                &format!("req-{}", s * 10 + i),
-                "a",
-                "red",
-                1,
-                2_000_000,
-                now,
-            );
-        }
+        shop.overload(s, "red");
         if s == 10 {
             shop.submit("req-1", "g", "red", 4, 4_000_000, now);
         }
@@ -707,10 +706,7 @@
     let mut began = None;
     for s in 3..300u64 {
         let now = s * SECOND;
-        for i in 0..3 {
-            let id = format!("req-{}", s * 10 + i);
-            shop.submit(&id, "a", "blue", 1, 2_000_000, now);
-        }
+        shop.overload(s, "blue");
         shop.second(now, None);
         if began.is_none() && shop.starts.contains_key("req-1") {
             began = Some(s);
@@ -731,10 +727,7 @@
     }
     for s in 3..300u64 {
         let now = s * SECOND;
-        for i in 0..3 {
-            let id = format!("req-{}", s * 10 + i);
-            shop.submit(&id, "a", "blue", 1, 2_000_000, now);
-        }
+        shop.overload(s, "blue");
         shop.second(now, None);
         if s == 60 {
             // What was free at the beginning is taken by then.
