Workspace: records and protocol forms below the daemon; no change of behaviour

Need: tools round the daemon read the same records and speak to the same state service; both stood inside the daemon.

--- /dev/null
+++ b/crates/records/src/lib.rs
@@ -0,0 +1,21 @@
+//! What salttiller keeps in the state service, below the daemon and every tool: keys, records,
+//! the model of a job, and the units that all of them count in.
+//!
+//! The forms of keys and records are published: other versions of the daemon read and write
+//! the same store side by side.
+
+#![deny(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod amount;
+pub mod bitmap;
+pub mod key;
+pub mod model;
+pub mod record;
+pub mod units;
+
+pub use amount::Amount;
+pub use key::{Key, PREFIX};
+
+#[cfg(test)]
+mod tests;
--- a/src/model.rs
+++ b/crates/records/src/model.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::settings::Amount;
+use crate::amount::Amount;
 use crate::units::Micros;
 
 /// A job's name, as its user chose it.
--- a/src/registry/records.rs
+++ b/crates/records/src/record.rs
@@ -1,83 +1,12 @@
-//! The records that the state service keeps for us, and their keys.
+//! The records that the state service keeps for the controllers.
+
+use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use crate::model::{JobSpec, RangeSet};
-
-/// Every key of ours begins with this; one watch over it sees all.
-pub const PREFIX: &str = "st/";
-
-/// Task numbers of one progress record.
-pub const CHUNK: u32 = 4096;
-
-/// The keys, each with the record it names.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum Key {
-    /// Who leads.
-    Leader,
-    /// The last token handed out.
-    Token,
-    /// Who owns a region.
-    Region(String),
-    /// A machine and the region it is dealt to, as versions before 0.2 kept it.
-    Machine(String),
-    /// Machines rented together and the region they are dealt to.
-    MachineBatch(String),
-    /// Which machines of a region's lots were opened, by region and number.
-    Opened(String, u32),
-    /// A job.
-    Job(String),
-    /// Finished tasks of a job, as one region found them.
-    Progress(String, String, u32),
-    /// How a team's limit is shared out.
-    Quota(String),
-    /// A machine type.
-    Flavor(String),
-}
-
-impl Key {
-    /// The key as text.
-    pub fn text(&self) -> String {
-        match self {
-            Key::Leader => format!("{PREFIX}leader"),
-            Key::Token => format!("{PREFIX}token"),
-            Key::Region(r) => format!("{PREFIX}region/{r}"),
-            Key::Machine(m) => format!("{PREFIX}machine/{m}"),
-            Key::MachineBatch(l) => format!("{PREFIX}lot/{l}"),
-            Key::Opened(r, n) => format!("{PREFIX}roll/{r}/{n}"),
-            Key::Job(j) => format!("{PREFIX}job/{j}"),
-            Key::Progress(j, r, c) => format!("{PREFIX}progress/{j}/{r}/{c}"),
-            Key::Quota(t) => format!("{PREFIX}quota/{t}"),
-            Key::Flavor(f) => format!("{PREFIX}flavor/{f}"),
-        }
-    }
-
-    /// Reads a key; `None` for one that is not ours.
-    pub fn parse(s: &str) -> Option<Key> {
-        let s = s.strip_prefix(PREFIX)?;
-        let (kind, rest) = s.split_once('/').unwrap_or((s, ""));
-        Some(match kind {
-            "leader" => Key::Leader,
-            "token" => Key::Token,
-            "region" => Key::Region(rest.into()),
-            "machine" => Key::Machine(rest.into()),
-            "lot" => Key::MachineBatch(rest.into()),
-            "roll" => {
-                let (r, n) = rest.rsplit_once('/')?;
-                Key::Opened(r.into(), n.parse().ok()?)
-            }
-            "job" => Key::Job(rest.into()),
-            "quota" => Key::Quota(rest.into()),
-            "flavor" => Key::Flavor(rest.into()),
-            "progress" => {
-                let mut p = rest.splitn(3, '/');
-                Key::Progress(p.next()?.into(), p.next()?.into(), p.next()?.parse().ok()?)
-            }
-            _ => return None,
-        })
-    }
-}
+use crate::units::Micros;
 
 /// `leader`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -117,7 +46,7 @@
     pub opened: bool,
     /// The lot it is in, and its place there.
     #[serde(skip)]
-    pub lot: Option<(std::rc::Rc<str>, usize)>,
+    pub lot: Option<(Rc<str>, usize)>,
 }
 
 /// `lot/ID`: machines of one type, zone and kind that were rented together and
@@ -193,7 +122,7 @@
         skip_serializing_if = "Option::is_none",
         serialize_with = "as_recorded"
     )]
-    pub spec: Option<std::rc::Rc<JobSpec>>,
+    pub spec: Option<Rc<JobSpec>>,
     /// Which regions hold which tasks; empty: not bound yet.
     #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
     pub parts: Vec<Part>,
@@ -204,15 +133,12 @@
     /// Of a done job: the time of day at which that was put on record. Jobs that need it
     /// count their times from there, under every leader alike.
     #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
-    pub ended: Option<crate::units::Micros>,
+    pub ended: Option<Micros>,
 }
 
 /// Writes a submission as it came: what the replica derives from other records is
 /// never put on record.
-fn as_recorded<S: serde::Serializer>(
-    spec: &Option<std::rc::Rc<JobSpec>>,
-    s: S,
-) -> Result<S::Ok, S::Error> {
+fn as_recorded<S: serde::Serializer>(spec: &Option<Rc<JobSpec>>, s: S) -> Result<S::Ok, S::Error> {
     match spec {
         Some(j) => j.recorded.as_ref().unwrap_or(j).serialize(s),
         None => s.serialize_none(),
@@ -252,7 +178,7 @@
     }
 
     /// The submission of a job that is not over.
-    pub fn open(&self) -> Option<&std::rc::Rc<JobSpec>> {
+    pub fn open(&self) -> Option<&Rc<JobSpec>> {
         if self.stage == Stage::Open {
             self.spec.as_ref()
         } else {
@@ -266,51 +192,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct QuotaRecord(pub std::collections::BTreeMap<String, (u64, u64)>);
 
-/// Finished tasks of one chunk as a bitmap in hexadecimal; short ones stay short.
-pub fn bitmap(done: &RangeSet, chunk: u32) -> String {
-    let base = chunk * CHUNK;
-    let mut nibbles: Vec<u8> = Vec::new();
-    for (s, e) in done.iter() {
-        for n in s.max(base)..e.min(base + CHUNK) {
-            let i = (n - base) as usize;
-            if nibbles.len() <= i / 4 {
-                nibbles.resize(i / 4 + 1, 0);
-            }
-            nibbles[i / 4] |= 1 << (i % 4);
-        }
-    }
-    nibbles
-        .into_iter()
-        .filter_map(|n| char::from_digit(n as u32, 16))
-        .collect()
-}
-
-/// Reads what [`bitmap`] wrote, adding to `into`; odd characters count as empty.
-pub fn read_bitmap(text: &str, chunk: u32, into: &mut RangeSet) {
-    let base = chunk.saturating_mul(CHUNK);
-    for (i, c) in text.chars().take(CHUNK as usize / 4).enumerate() {
-        let bits = c.to_digit(16).unwrap_or(0);
-        for b in 0..4 {
-            if bits & (1 << b) != 0 {
-                into.insert(base + i as u32 * 4 + b);
-            }
-        }
-    }
-}
-
-/// How many tasks [`bitmap`] wrote down.
-pub fn count_bits(text: &str) -> u32 {
-    let digits = text.chars().take(CHUNK as usize / 4);
-    digits
-        .map(|c| c.to_digit(16).unwrap_or(0).count_ones())
-        .sum()
-}
-
 /// A record as a value for the state service.
 pub fn value<T: Serialize>(record: &T) -> Value {
     // Our records are plain maps of text and numbers: this can't fail.
     serde_json::to_value(record).unwrap_or(Value::Null)
 }
-
-#[cfg(test)]
-mod tests;
--- a/src/registry/records/tests.rs
+++ b/crates/records/src/tests.rs
@@ -1,6 +1,12 @@
-//! Tests of registry::records.
+//! Tests of keys, records and bitmaps.
 
-use super::*;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::bitmap::{bitmap, read_bitmap, CHUNK};
+use crate::key::Key;
+use crate::model::RangeSet;
+use crate::record::*;
 
 #[test]
 fn keys_and_bitmaps_survive() {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -5,11 +5,11 @@
 use serde::Deserialize;
 use serde_json::json;
 
-use crate::http::Response;
-use crate::model::Flavor;
 use crate::reactor::CallError;
 use crate::settings::Settings;
-use crate::units::{self, Micros, MILLI, SECOND};
+use salttiller_protocol::http::Response;
+use salttiller_records::model::Flavor;
+use salttiller_records::units::{self, Micros, MILLI, SECOND};
 
 mod wire {
     use super::Deserialize;
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -4,12 +4,12 @@
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
 
-use crate::model::{is_job_id, JobSpec, Kind, Priority};
 use crate::quota;
-use crate::registry::records::Stage;
 use crate::registry::replica::Replica;
 use crate::settings::Settings;
-use crate::units::{self, Micros, MILLI, SECOND};
+use salttiller_records::model::{is_job_id, JobSpec, Kind, Priority};
+use salttiller_records::record::Stage;
+use salttiller_records::units::{self, Micros, MILLI, SECOND};
 
 mod wire {
     use super::{Deserialize, Serialize};
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -11,12 +11,13 @@
 use crate::fault_injection::{is_left_out, Guard};
 use crate::fleet::{offers, Fleet, FleetEvent, Listed, Offer, Refusals};
 use crate::mesh::{Message, RegionReport};
-use crate::model::{Flavor, JobSpec, Kind};
 use crate::region::{narrow_type, waiting_spans, NarrowMemory, View};
-use crate::registry::records::{value, JobRecord, Joint, Key, MachineBatchRecord, Part, MAX_BATCH};
 use crate::registry::replica::Versioned;
 use crate::registry::{Txn, Urgency};
-use crate::units::{to_secs, Micros, MILLI, SECOND};
+use salttiller_records::key::Key;
+use salttiller_records::model::{Flavor, JobSpec, Kind};
+use salttiller_records::record::{value, JobRecord, Joint, MachineBatchRecord, Part, MAX_BATCH};
+use salttiller_records::units::{to_secs, Micros, MILLI, SECOND};
 
 pub use boots::BootReports;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,11 +7,9 @@
 
 mod fault_injection;
 pub mod fleet;
-pub mod http;
 pub mod intake;
 pub mod leader;
 pub mod mesh;
-pub mod model;
 pub mod node;
 pub mod quota;
 pub mod reactor;
@@ -19,7 +17,6 @@
 pub mod registry;
 pub mod settings;
 pub mod status;
-pub mod units;
 pub mod workers;
 
 #[cfg(test)]
--- a/src/node.rs
+++ b/src/node.rs
@@ -6,25 +6,26 @@
 
 use crate::fault_injection::{is_left_out, Guard};
 use crate::fleet::{Fleet, FleetEvent};
-use crate::http::{Request, Response};
 use crate::intake::{self, Limiter, Refusal};
 use crate::leader::{self, Leader, Reports};
 use crate::mesh::{self, Message};
-use crate::model::{is_job_id, JobSpec};
 use crate::quota;
 use crate::reactor::{Call, CallError, CallId, ConnId, Limits, Net, NetEvent, Reactor};
 use crate::region::{self, Region, Verdict, View};
-use crate::registry::records::{value, JobRecord, Key, LeaderRecord, RegionRecord, Stage};
 use crate::registry::{
     Authority, GrantName, Outcome, Registry, RegistryEvent, Txn, Urgency, FRESH_FOR,
 };
 use crate::settings::Settings;
 use crate::status::conditions::QuestionRate;
 use crate::status::{self as signals, Aims};
-use crate::units::{Micros, MILLI, SECOND};
 use crate::workers;
 use pending::PendingRequests;
 use reachability::{Redirects, Releases, UnreachedNews};
+use salttiller_protocol::http::{Request, Response};
+use salttiller_records::key::Key;
+use salttiller_records::model::{is_job_id, JobSpec};
+use salttiller_records::record::{value, JobRecord, LeaderRecord, RegionRecord, Stage};
+use salttiller_records::units::{Micros, MILLI, SECOND};
 
 const STORE: usize = 0;
 const CLOUD: usize = 1;
--- a/src/node/pending.rs
+++ b/src/node/pending.rs
@@ -5,7 +5,7 @@
 
 use super::Waiting;
 use crate::reactor::ConnId;
-use crate::units::Micros;
+use salttiller_records::units::Micros;
 
 /// Requests in the order in which they came.
 #[derive(Debug, Default)]
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -2,10 +2,11 @@
 //! together: each region starts tasks only inside its own share, and the shares
 //! of a team, changed by compare-and-set, never sum to more than its limit.
 
-use crate::model::Kind;
-use crate::registry::records::QuotaRecord;
 use crate::registry::replica::Replica;
-use crate::settings::{Amount, Settings};
+use crate::settings::Settings;
+use salttiller_records::model::Kind;
+use salttiller_records::record::QuotaRecord;
+use salttiller_records::Amount;
 
 /// A region's share on record.
 pub fn share(rec: Option<&QuotaRecord>, region: &str) -> Amount {
--- a/src/reactor.rs
+++ b/src/reactor.rs
@@ -18,8 +18,8 @@
 use polling::{Event, Events, PollMode, Poller};
 use socket2::{Domain, Protocol, Socket, Type};
 
-use crate::http::{self, Response};
-use crate::units::{Micros, SECOND};
+use salttiller_protocol::http::{self, Response};
+use salttiller_records::units::{Micros, SECOND};
 
 #[derive(Debug)]
 struct Pending {
--- a/src/reactor/net.rs
+++ b/src/reactor/net.rs
@@ -1,7 +1,7 @@
 //! What the polling loop offers, and what it tells: the interface that tests replace.
 
-use crate::http::{Request, Response};
-use crate::units::Micros;
+use salttiller_protocol::http::{Request, Response};
+use salttiller_records::units::Micros;
 
 /// Names a connection for as long as it lives; a later one in the same slot has
 /// another generation, so an answer can't reach a stranger.
--- a/src/region.rs
+++ b/src/region.rs
@@ -40,16 +40,10 @@
 
 use crate::fault_injection::{is_left_out, Guard};
 use crate::mesh::{CountLine, RegionReport, RoomLine, WaitLine};
-use crate::model::{Flavor, JobId, JobSpec, Kind, RangeSet};
 use crate::quota;
-use crate::registry::records::{
-    bitmap, read_bitmap, value, JobRecord, Joint, Key, MachineRecord, OpenedRecord, Part, Stage,
-    CHUNK, MAX_OPENED_BATCHES,
-};
 use crate::registry::replica::Replica;
 use crate::registry::{Outcome, Txn, Urgency};
-use crate::settings::{Amount, Settings};
-use crate::units::{stretch, to_secs, Micros, MILLI, SECOND};
+use crate::settings::Settings;
 use crate::workers::{Command, End, OnMachine, Report, MAX_COMMANDS};
 use boots::BootHistory;
 use failures::{JobFailures, MachineFailures};
@@ -60,13 +54,21 @@
 use machine::Machine;
 use measured::Measured;
 use order::OrderKey;
+use salttiller_records::bitmap::{bitmap, read_bitmap, CHUNK};
+use salttiller_records::key::Key;
+use salttiller_records::model::{Flavor, JobId, JobSpec, Kind, RangeSet};
+use salttiller_records::record::{
+    value, JobRecord, Joint, MachineRecord, OpenedRecord, Part, Stage, MAX_OPENED_BATCHES,
+};
+use salttiller_records::units::{stretch, to_secs, Micros, MILLI, SECOND};
+use salttiller_records::Amount;
 use share::Share;
 use task::Held;
 
 /// Whose turn it is among a team's jobs when its limit is short, over all regions; the
 /// least goes first: by priority, then by age.
 fn scheduling_order(s: &JobSpec) -> u64 {
-    let behind = crate::model::Priority::Production as u64 - s.priority as u64;
+    let behind = salttiller_records::model::Priority::Production as u64 - s.priority as u64;
     (behind << 56) | (s.submitted & ((1 << 56) - 1))
 }
 
--- a/src/region/hold.rs
+++ b/src/region/hold.rs
@@ -8,7 +8,7 @@
 #[derive(Debug)]
 pub(super) struct Hold {
     pub job: JobId,
-    pub priority: crate::model::Priority,
+    pub priority: salttiller_records::model::Priority,
     pub team: String,
     /// It has room, but its team's share here is too small.
     pub short: bool,
--- a/src/region/list.rs
+++ b/src/region/list.rs
@@ -5,8 +5,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-use crate::model::JobSpec;
-use crate::settings::Amount;
+use salttiller_records::model::JobSpec;
+use salttiller_records::Amount;
 
 /// Processors, cards and memory, in millionths.
 pub type Room = (u64, u64, u64);
--- a/src/region/machine_records.rs
+++ b/src/region/machine_records.rs
@@ -1,7 +1,7 @@
 //! The records of machines: which were opened, and which are gone.
 
 use super::*;
-use crate::registry::records::MachineBatchRecord;
+use salttiller_records::record::MachineBatchRecord;
 
 impl Region {
     /// Puts machines on the roll before their first starts, and takes machines
--- a/src/region/order.rs
+++ b/src/region/order.rs
@@ -21,7 +21,7 @@
     suspect: bool,
     /// It goes beyond its team's guarantee.
     pub beyond_guarantee: bool,
-    priority: std::cmp::Reverse<crate::model::Priority>,
+    priority: std::cmp::Reverse<salttiller_records::model::Priority>,
     /// Place of its class in the operators' precedence.
     precedence: usize,
     /// None of its aims can be met any more.
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -13,7 +13,6 @@
 mod grants;
 pub mod pipelines;
 mod reads;
-pub mod records;
 pub mod replica;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -22,12 +21,13 @@
 use serde_json::{json, Value};
 
 use crate::fault_injection::{is_left_out, Guard};
-use crate::http::Response;
 use crate::reactor::CallError;
 use crate::settings::Settings;
-use crate::units::{shrink, Micros, MILLI, SECOND};
-use records::{Key, PREFIX};
 use replica::Replica;
+use salttiller_protocol::http::Response;
+use salttiller_protocol::state_service::{self, encode, Changes, Granted, Page, Refused, Revision};
+use salttiller_records::key::{Key, PREFIX};
+use salttiller_records::units::{shrink, Micros, MILLI, SECOND};
 
 /// A change of the records, all or nothing.
 #[derive(Debug, Clone, Default)]
@@ -206,51 +206,6 @@
     }
 }
 
-#[derive(Deserialize)]
-struct PairWire {
-    k: String,
-    value: Value,
-    mark: u64,
-}
-
-#[derive(Deserialize)]
-struct PageWire {
-    pairs: Vec<PairWire>,
-    #[serde(default)]
-    more: bool,
-    almanac: u64,
-}
-
-#[derive(Deserialize)]
-struct EventWire {
-    put: Option<String>,
-    delete: Option<String>,
-    #[serde(default)]
-    value: Option<Value>,
-    mark: u64,
-}
-
-#[derive(Deserialize)]
-struct FollowWire {
-    almanac: u64,
-    events: Vec<EventWire>,
-}
-
-#[derive(Deserialize)]
-struct AlmanacWire {
-    almanac: u64,
-}
-
-#[derive(Deserialize)]
-struct ErrorWire {
-    error: String,
-}
-
-#[derive(Deserialize)]
-struct TenureWire {
-    tenure: u64,
-}
-
 enum Load {
     Needed {
         not_before: Micros,
@@ -310,7 +265,7 @@
 const FOLLOW_WAIT: Micros = 5 * SECOND;
 
 fn decode<T: for<'a> Deserialize<'a>>(body: &[u8]) -> Option<T> {
-    match rmp_serde::from_slice(body) {
+    match state_service::decode(body) {
         Ok(v) => Some(v),
         Err(e) => {
             log::error!("registry: answer of the state service can't be read: {e}");
@@ -319,10 +274,6 @@
     }
 }
 
-fn encode(v: &Value) -> Vec<u8> {
-    rmp_serde::to_vec(v).unwrap_or_default()
-}
-
 impl Registry {
     /// A registry that knows nothing yet.
     pub fn new(s: &Settings) -> Self {
--- a/src/registry/commits.rs
+++ b/src/registry/commits.rs
@@ -111,10 +111,10 @@
         let sent_at = self.commit_sent.remove(&c.ticket).unwrap_or(now);
         let end = match &result {
             Ok(r) if r.status == 200 => {
-                decode::<AlmanacWire>(&r.body).map(|a| Outcome::Done(a.almanac))
+                decode::<Revision>(&r.body).map(|a| Outcome::Done(a.revision))
             }
             Ok(r) if r.status == 409 => {
-                decode::<AlmanacWire>(&r.body).map(|a| Outcome::Conflict(a.almanac))
+                decode::<Revision>(&r.body).map(|a| Outcome::Conflict(a.revision))
             }
             Ok(r) if r.status == 400 => {
                 log_refusal(&c.txn, &r.body);
@@ -185,7 +185,7 @@
 /// A lease that ended is part of losing a region, and said there; anything else that is
 /// refused for good is a fault of ours. Neither is sent again.
 fn log_refusal(txn: &Txn, body: &[u8]) {
-    let reason = rmp_serde::from_slice::<ErrorWire>(body).map(|e| e.error);
+    let reason = rmp_serde::from_slice::<Refused>(body).map(|e| e.error);
     let reason = reason.unwrap_or_default();
     let first = txn
         .apply
--- a/src/registry/grants.rs
+++ b/src/registry/grants.rs
@@ -73,7 +73,7 @@
             return;
         };
         let id = match result {
-            Ok(r) if r.status == 200 => decode::<TenureWire>(&r.body).map(|t| t.tenure),
+            Ok(r) if r.status == 200 => decode::<Granted>(&r.body).map(|g| g.lease),
             _ => None,
         };
         let life = self.grant(name).life;
--- a/src/registry/pipelines.rs
+++ b/src/registry/pipelines.rs
@@ -7,11 +7,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-use super::records::{JobRecord, Stage};
 use super::replica::Versioned;
 use crate::fault_injection::{is_left_out, Guard};
-use crate::model::JobSpec;
-use crate::units::Micros;
+use salttiller_records::model::JobSpec;
+use salttiller_records::record::{JobRecord, Stage};
+use salttiller_records::units::Micros;
 
 /// Most jobs to which one change hands priority and deadline on; the rest follows with
 /// the next calls of [`Pipelines::continue_propagation`].
--- a/src/registry/pipelines/tests.rs
+++ b/src/registry/pipelines/tests.rs
@@ -3,9 +3,9 @@
 use serde_json::{json, Value};
 
 use super::MAX_STEPS_PER_CHANGE;
-use crate::model::Priority;
-use crate::registry::records::{value, Stage};
 use crate::registry::replica::Replica;
+use salttiller_records::model::Priority;
+use salttiller_records::record::{value, Stage};
 
 /// A replica, written to as the state service's events would.
 #[derive(Default)]
--- a/src/registry/reads.rs
+++ b/src/registry/reads.rs
@@ -84,7 +84,7 @@
         now: Micros,
         events: &mut Vec<RegistryEvent>,
     ) {
-        let page: Option<PageWire> = match result {
+        let page: Option<Page> = match result {
             Ok(r) if r.status == 200 => decode(&r.body),
             Ok(r) => {
                 log::debug!("registry: page: status {}", r.status);
@@ -111,10 +111,10 @@
             return;
         };
         *waiting = false;
-        start.get_or_insert(page.almanac);
-        let last = page.pairs.last().map(|p| p.k.clone());
+        start.get_or_insert(page.revision);
+        let last = page.pairs.last().map(|p| p.key.clone());
         for p in page.pairs {
-            fresh.event(&p.k, Some(p.value), p.mark);
+            fresh.event(&p.key, Some(p.value), p.version);
         }
         if page.more && last.is_some() {
             *from = last;
@@ -170,18 +170,18 @@
             log::debug!("registry: watch: status {}", r.status);
             return false;
         }
-        let Some(f) = decode::<FollowWire>(&r.body) else {
+        let Some(f) = decode::<Changes>(&r.body) else {
             return false;
         };
         let mut changed = Vec::new();
         for e in f.events {
             if let Some(k) = &e.put {
-                changed.extend(self.replica.event(k, e.value, e.mark));
+                changed.extend(self.replica.event(k, e.value, e.version));
             } else if let Some(k) = &e.delete {
-                changed.extend(self.replica.event(k, None, e.mark));
+                changed.extend(self.replica.event(k, None, e.version));
             }
         }
-        self.replica.reached(f.almanac);
+        self.replica.reached(f.revision);
         if !changed.is_empty() {
             events.push(RegistryEvent::Changed(changed));
         }
--- a/src/registry/replica.rs
+++ b/src/registry/replica.rs
@@ -7,12 +7,14 @@
 use serde_json::Value;
 
 use super::pipelines::{PipelineEnd, Pipelines, Readiness};
-use super::records::{
-    count_bits, read_bitmap, JobRecord, Key, LeaderRecord, MachineBatchRecord, MachineRecord,
-    OpenedRecord, Part, QuotaRecord, RegionRecord, Stage,
+use salttiller_records::bitmap::{count_bits, read_bitmap};
+use salttiller_records::key::Key;
+use salttiller_records::model::{Flavor, JobSpec, RangeSet};
+use salttiller_records::record::{
+    JobRecord, LeaderRecord, MachineBatchRecord, MachineRecord, OpenedRecord, Part, QuotaRecord,
+    RegionRecord, Stage,
 };
-use crate::model::{Flavor, JobSpec, RangeSet};
-use crate::settings::Amount;
+use salttiller_records::Amount;
 
 /// A record with the revision of its last change.
 #[derive(Debug, Clone)]
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,12 +1,11 @@
 //! What the daemon is told at the start: the platform's JSON file and, if the
 //! operators have one, their INI.
 
-mod amount;
 mod operator;
 mod wire;
 
-pub use amount::Amount;
 pub use operator::{parse_ini, Operator};
+use salttiller_records::Amount;
 
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::Path;
@@ -14,7 +13,7 @@
 use serde::Deserialize;
 use thiserror::Error;
 
-use crate::units::{self, Micros};
+use salttiller_records::units::{self, Micros};
 
 /// What is wrong with the settings; each names the file and the field.
 #[derive(Debug, Error)]
--- a/src/sim.rs
+++ b/src/sim.rs
@@ -10,11 +10,11 @@
 use serde_json::{json, Value};
 
 use crate::fault_injection::{leave_out, Guard};
-use crate::http::{query_value, Request, Response};
 use crate::node::Node;
 use crate::reactor::{Call, CallError, CallId, ConnId, Net, NetEvent};
 use crate::settings::Settings;
-use crate::units::{Micros, MILLI, SECOND};
+use salttiller_protocol::http::{query_value, Request, Response};
+use salttiller_records::units::{Micros, MILLI, SECOND};
 
 mod cloud;
 mod compound_failures;
--- a/src/sim/faults.rs
+++ b/src/sim/faults.rs
@@ -89,7 +89,10 @@
                 let mut on: Vec<String> = Vec::new();
                 for (m, w) in &self.workers {
                     for (t, s) in &w.tasks {
-                        let id = crate::model::parse_task(t).unwrap().0.to_owned();
+                        let id = salttiller_records::model::parse_task(t)
+                            .unwrap()
+                            .0
+                            .to_owned();
                         if s.stage != "ended" && !ids.contains(&id) && ids.len() < n {
                             ids.push(id);
                             on.push(m.clone());
--- a/src/sim/invariants.rs
+++ b/src/sim/invariants.rs
@@ -76,7 +76,7 @@
                 (8.0, 64.0)
             };
             for (t, s) in w.tasks.iter().filter(|(_, s)| s.stage != "ended") {
-                let id = crate::model::parse_task(t).unwrap().0;
+                let id = salttiller_records::model::parse_task(t).unwrap().0;
                 let j = &self.jobs[id];
                 cpus -= j.cpus;
                 mem -= 1.0;
@@ -145,7 +145,7 @@
                     .map(|(t, _)| t.clone())
             })
             .filter(|t| {
-                self.jobs[crate::model::parse_task(t).unwrap().0]
+                self.jobs[salttiller_records::model::parse_task(t).unwrap().0]
                     .cancel_told
                     .is_some_and(|c| self.now > c + 41 * SECOND)
             })
--- a/src/sim/workers.rs
+++ b/src/sim/workers.rs
@@ -157,7 +157,7 @@
     }
 
     pub(super) fn command(&mut self, name: &str, call: &str, task: String, attempt: u64) {
-        let (job, n) = crate::model::parse_task(&task).unwrap();
+        let (job, n) = salttiller_records::model::parse_task(&task).unwrap();
         let (job, n) = (job.to_owned(), n);
         match call {
             "start" => {
@@ -339,7 +339,7 @@
             .map(|(t, s)| (t.clone(), s.attempt, s.stage))
             .collect();
         for (t, attempt, stage) in due {
-            let (job, n) = crate::model::parse_task(&t).unwrap();
+            let (job, n) = salttiller_records::model::parse_task(&t).unwrap();
             let gang = self.jobs[job].spec["furrow"] == "gang";
             let known = self.jobs[job].done.contains(&n);
             // A gang is done together, or not at all.
@@ -385,7 +385,7 @@
         for w in self.workers.values().filter(|w| !self.lapsed(w)) {
             for (t, s) in &w.tasks {
                 if s.stage != "ended" {
-                    let j = &self.jobs[crate::model::parse_task(t).unwrap().0];
+                    let j = &self.jobs[salttiller_records::model::parse_task(t).unwrap().0];
                     *used
                         .entry(j.spec["crew"].as_str().unwrap().into())
                         .or_default() += j.cpus;
--- a/src/status.rs
+++ b/src/status.rs
@@ -9,12 +9,12 @@
 use std::fmt;
 
 use crate::mesh::{AimLine, Status};
-use crate::model::JobSpec;
 use crate::registry::pipelines::PipelineEnd;
 use crate::settings::{Objective, Operator};
-use crate::units::{to_secs, Micros, SECOND};
 use conditions::{Condition, ConditionWatch};
 use pipelines::{expected_end, PipelineWatch, Step};
+use salttiller_records::model::JobSpec;
+use salttiller_records::units::{to_secs, Micros, SECOND};
 
 /// What operators are told.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/status/conditions.rs
+++ b/src/status/conditions.rs
@@ -5,7 +5,7 @@
 use std::fmt;
 
 use super::Signal;
-use crate::units::{to_secs, Micros, SECOND};
+use salttiller_records::units::{to_secs, Micros, SECOND};
 
 /// Most conditions named in one round; the others are counted.
 const NAMED_AT_ONCE: usize = 3;
--- a/src/status/pipelines.rs
+++ b/src/status/pipelines.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::Signal;
-use crate::units::{to_secs, Micros, SECOND};
+use salttiller_records::units::{to_secs, Micros, SECOND};
 
 /// Most pipelines named in one round; the others are counted.
 const NAMED_AT_ONCE: usize = 3;
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -5,8 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::model::{parse_task, JobId};
-use crate::units::{self, Micros};
+use salttiller_records::model::{parse_task, JobId};
+use salttiller_records::units::{self, Micros};
 
 mod wire {
     use super::{Deserialize, Serialize};
