--- a/crates/protocol/src/http.rs
+++ b/crates/protocol/src/http.rs
@@ -263,8 +263,17 @@
     )))
 }
 
-/// Reads a response from the front of `buf`; `None` while incomplete.
+/// Reads a response from the front of `buf`; `None` while incomplete. Bodies are bounded by
+/// [`MAX_RESPONSE_BODY`].
 pub fn parse_response(buf: &[u8]) -> Result<Option<(Response, usize)>, HttpError> {
+    parse_response_within(buf, MAX_RESPONSE_BODY)
+}
+
+/// Reads a response whose body may have up to `limit` bytes; `None` while incomplete.
+pub fn parse_response_within(
+    buf: &[u8],
+    limit: usize,
+) -> Result<Option<(Response, usize)>, HttpError> {
     let Some(head) = parse_head(buf)? else {
         return Ok(None);
     };
@@ -281,7 +290,7 @@
     let got = if status == 204 || status == 304 {
         Some((Vec::new(), head.end))
     } else {
-        parse_body(buf, &head, MAX_RESPONSE_BODY)?
+        parse_body(buf, &head, limit)?
     };
     let Some((body, used)) = got else {
         return Ok(None);
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -3,5 +3,6 @@
 #![deny(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod client;
 pub mod http;
 pub mod state_service;
