Lost records are noticed, and controllers hold until operators decide

Need: a state service that was wiped or set back looked to a controller that ran like one that refused its transactions for ever, and to one that restarted like a new one: accepted jobs got 404, and running work was stopped or ran out of its leases. Found by its tests and mended: a controller told by the record kept a copy that mixed two histories and tried hopeless transactions a hundred times a second; a job told done was called queued from an older copy after all restarted; a lease granted by a store that was wiped again left a region without an owner.

--- a/crates/archive/src/database.rs
+++ b/crates/archive/src/database.rs
@@ -13,16 +13,17 @@
 };
 use serde::de::DeserializeOwned;
 
+use salttiller_records::history::{last_whole_revisions, Fingerprint, RECOGNISED_CHANGES};
 use salttiller_records::units::Micros;
 
 use crate::contain::contained;
 use crate::error::ArchiveError;
 use crate::fault_injection::{is_left_out, Guard};
 use crate::form::{
-    decode_entry, encode_entry, Change, ChangeBatch, Fingerprint, Gap, Image, RecordDigest,
-    Segment, StoredRecord,
+    decode_entry, encode_entry, Change, ChangeBatch, Gap, Image, RecordDigest, Segment,
+    StoredRecord,
 };
-use crate::recorder::{last_whole_revisions, Action, RECOGNISED_CHANGES};
+use crate::recorder::Action;
 
 /// The form of the file that this version writes, and the highest that it reads.
 pub const FORMAT: u64 = 1;
--- a/crates/archive/src/form.rs
+++ b/crates/archive/src/form.rs
@@ -6,6 +6,7 @@
 use sha2::{Digest, Sha256};
 
 use salttiller_protocol::state_service::{Event, Pair};
+use salttiller_records::history::Fingerprint;
 use salttiller_records::units::Micros;
 
 /// A record as kept: its version and its value in MessagePack.
@@ -65,25 +66,10 @@
 
     /// What identifies the change when two histories are compared.
     pub fn fingerprint(&self) -> Fingerprint {
-        Fingerprint {
-            version: self.version,
-            key: self.key.clone(),
-            checksum: self.value.as_deref().map(crc32fast::hash),
-        }
+        Fingerprint::new(self.version, self.key.clone(), self.value.as_deref())
     }
 }
 
-/// A change, short: enough to tell whether another history has the same one.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Fingerprint {
-    /// Revision of the change.
-    pub version: u64,
-    /// Key of the record.
-    pub key: String,
-    /// Checksum of its value; `None`: deleted.
-    pub checksum: Option<u32>,
-}
-
 /// Changes that came in one answer of the watch.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChangeBatch {
--- a/crates/archive/src/recorder.rs
+++ b/crates/archive/src/recorder.rs
@@ -9,18 +9,15 @@
 //! grown past our revision since shows others.
 
 use salttiller_protocol::state_service::{Changes, Page};
+use salttiller_records::history::{last_whole_revisions, Fingerprint};
 use salttiller_records::units::{Micros, MILLI, SECOND};
 use salttiller_records::PREFIX;
 
 use crate::fault_injection::{is_left_out, Guard};
-use crate::form::{
-    from_pair, Change, ChangeBatch, Fingerprint, Gap, GapCause, Segment, StoredRecord,
-};
+use crate::form::{from_pair, Change, ChangeBatch, Gap, GapCause, Segment, StoredRecord};
 
 /// Records asked for in one page, the most that the state service gives.
 const PAGE_RECORDS: u32 = 1000;
-/// Changes that are kept to recognise a history by.
-pub const RECOGNISED_CHANGES: usize = 32;
 /// How far before a new segment its context is asked for, in revisions; less if the state
 /// service doesn't keep so much.
 const CONTEXT_REVISIONS: u64 = 64;
@@ -584,17 +581,5 @@
     Some(changes)
 }
 
-/// The last changes by which a history is recognised. A revision is kept whole, since the
-/// comparison asks for whole revisions.
-pub fn last_whole_revisions(mut changes: Vec<Fingerprint>) -> Vec<Fingerprint> {
-    let Some(first) = changes.len().checked_sub(RECOGNISED_CHANGES) else {
-        return changes;
-    };
-    let oldest = changes[first].version;
-    let start = changes.partition_point(|c| c.version < oldest);
-    changes.drain(..start);
-    changes
-}
-
 #[cfg(test)]
 pub(crate) mod tests;
--- /dev/null
+++ b/crates/records/src/history.rs
@@ -0,0 +1,41 @@
+//! Recognising a history of the state service by its last changes.
+
+use serde::{Deserialize, Serialize};
+
+/// Changes that are kept to recognise a history by.
+pub const RECOGNISED_CHANGES: usize = 32;
+
+/// A change, short: enough to tell whether another history has the same one.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Fingerprint {
+    /// Revision of the change.
+    pub version: u64,
+    /// Key of the record.
+    pub key: String,
+    /// Checksum of its value; `None`: deleted.
+    pub checksum: Option<u32>,
+}
+
+impl Fingerprint {
+    /// The fingerprint of a change to a value, as bytes that are the same for equal values.
+    pub fn new(version: u64, key: String, value: Option<&[u8]>) -> Self {
+        let checksum = value.map(crc32fast::hash);
+        Fingerprint {
+            version,
+            key,
+            checksum,
+        }
+    }
+}
+
+/// The last [`RECOGNISED_CHANGES`] of changes in the order of their revisions. A revision is
+/// kept whole, since a comparison asks for whole revisions.
+pub fn last_whole_revisions(mut changes: Vec<Fingerprint>) -> Vec<Fingerprint> {
+    let Some(first) = changes.len().checked_sub(RECOGNISED_CHANGES) else {
+        return changes;
+    };
+    let oldest = changes[first].version;
+    let start = changes.partition_point(|c| c.version < oldest);
+    changes.drain(..start);
+    changes
+}
--- a/crates/records/src/key.rs
+++ b/crates/records/src/key.rs
@@ -26,6 +26,8 @@
     Quota(String),
     /// A machine type.
     Flavor(String),
+    /// That records were lost, and what operators decided.
+    Hold,
 }
 
 impl Key {
@@ -42,6 +44,7 @@
             Key::Progress(j, r, c) => format!("{PREFIX}progress/{j}/{r}/{c}"),
             Key::Quota(t) => format!("{PREFIX}quota/{t}"),
             Key::Flavor(f) => format!("{PREFIX}flavor/{f}"),
+            Key::Hold => format!("{PREFIX}hold"),
         }
     }
 
@@ -52,6 +55,7 @@
         Some(match kind {
             "leader" => Key::Leader,
             "token" => Key::Token,
+            "hold" => Key::Hold,
             "region" => Key::Region(rest.into()),
             "machine" => Key::Machine(rest.into()),
             "lot" => Key::MachineBatch(rest.into()),
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod amount;
 pub mod bitmap;
+pub mod history;
 pub mod key;
 pub mod model;
 pub mod record;
--- a/crates/records/src/record.rs
+++ b/crates/records/src/record.rs
@@ -26,6 +26,10 @@
     pub run: u64,
     /// The token with which it commands.
     pub token: u64,
+    /// Set while its owner holds: the incident, see [`HoldRecord`]. Versions before 0.6 know
+    /// no such field.
+    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
+    pub held: Option<u64>,
 }
 
 /// A machine as the records show it: either one `machine/NAME` of its own, as
@@ -192,6 +196,34 @@
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct QuotaRecord(pub std::collections::BTreeMap<String, (u64, u64)>);
 
+/// `hold`: controllers found that the state service lost records, and hold until operators
+/// decide. Versions before 0.6 pass it over.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HoldRecord {
+    /// Tells one loss from another: a random number.
+    pub incident: u64,
+    /// Host name of the controller that found it.
+    pub by: String,
+    /// Time of day at which it did.
+    pub at: Micros,
+    /// What it saw.
+    pub seen: String,
+    /// Set when operators decided to go on with what there is.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub accepted: Option<AcceptedLoss>,
+}
+
+/// An operator's decision to go on with the records that there are.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AcceptedLoss {
+    /// Who.
+    pub by: String,
+    /// Time of day.
+    pub at: Micros,
+    /// Why.
+    pub why: String,
+}
+
 /// A record as a value for the state service.
 pub fn value<T: Serialize>(record: &T) -> Value {
     // Our records are plain maps of text and numbers: this can't fail.
--- a/crates/records/src/tests.rs
+++ b/crates/records/src/tests.rs
@@ -21,6 +21,7 @@
         Key::Progress("req-1".into(), "t-0".into(), 7),
         Key::Quota("x".into()),
         Key::Flavor("y".into()),
+        Key::Hold,
     ] {
         assert_eq!(Key::parse(&k.text()), Some(k));
     }
--- a/crates/salttillerctl/src/archive.rs
+++ b/crates/salttillerctl/src/archive.rs
@@ -1,6 +1,5 @@
 //! `salttillerctl archive`.
 
-use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
@@ -18,6 +17,7 @@
 use salttiller_archive::{Archive, ArchiveError};
 
 use crate::exit::Failure;
+use crate::output::{print_json, write_whole};
 use crate::settings::{read_archive_settings, ArchiveSettings};
 
 /// `salttillerctl archive`.
@@ -276,28 +276,3 @@
     write_whole(output, &serde_json::to_vec(&document).unwrap_or_default())
         .map_err(|cause| ArchiveError::io(output, cause).into())
 }
-
-/// Writes a file whole or not at all.
-fn write_whole(path: &Path, bytes: &[u8]) -> std::io::Result<()> {
-    let mut name = path.as_os_str().to_owned();
-    name.push(format!(".new-{}", std::process::id()));
-    let new = PathBuf::from(name);
-    let written = std::fs::File::create(&new).and_then(|mut file| {
-        file.write_all(bytes)?;
-        file.sync_all()
-    });
-    let renamed = written.and_then(|()| std::fs::rename(&new, path));
-    if renamed.is_err() {
-        let _ = std::fs::remove_file(&new);
-    }
-    renamed
-}
-
-fn print_json<T: serde::Serialize>(document: &T) -> Result<(), Failure> {
-    let text = serde_json::to_string_pretty(document).unwrap_or_default();
-    let out = std::io::stdout();
-    writeln!(out.lock(), "{text}").map_err(|cause| Failure::Output {
-        file: "standard output".to_owned(),
-        cause,
-    })
-}
--- a/crates/salttillerctl/src/exit.rs
+++ b/crates/salttillerctl/src/exit.rs
@@ -18,6 +18,15 @@
     /// A file that is there already would be overwritten.
     #[error("{0}: is there already; --yes overwrites it")]
     WouldOverwrite(String),
+    /// The state service gave no usable answer.
+    #[error("state service: {0}")]
+    StateService(String),
+    /// There is nothing to decide.
+    #[error("no hold: there is nothing to decide")]
+    NotHeld,
+    /// Another decision, or a further loss, came in between.
+    #[error("the hold's record changed in between; look again")]
+    Changed,
     /// An output file can't be written.
     #[error("{file}: {cause}")]
     Output {
@@ -35,6 +44,9 @@
             Failure::Output { .. } => 1,
             Failure::Settings(_) => 3,
             Failure::WouldOverwrite(_) => 4,
+            Failure::StateService(_) => 18,
+            Failure::NotHeld => 20,
+            Failure::Changed => 21,
             Failure::Archive(error) => match error {
                 ArchiveError::Io { .. } => 1,
                 ArchiveError::Missing(_) => 10,
--- a/crates/salttillerctl/src/main.rs
+++ b/crates/salttillerctl/src/main.rs
@@ -6,6 +6,8 @@
 
 mod archive;
 mod exit;
+mod output;
+mod recover;
 mod settings;
 
 use std::process::ExitCode;
@@ -25,6 +27,8 @@
 enum Command {
     /// Keeps and reads an archive of the state service's records.
     Archive(archive::Args),
+    /// Shows and ends a hold after lost records.
+    Recover(recover::Args),
     /// Prints the JSON schema of a document.
     Schema {
         /// Which document.
@@ -41,6 +45,7 @@
         .init();
     let result = match Cli::parse().command {
         Command::Archive(args) => archive::run(&args),
+        Command::Recover(args) => recover::run(&args),
         Command::Schema { document } => archive::print_schema(document),
     };
     match result {
--- a/crates/salttillerctl/tests/archive.rs
+++ b/crates/salttillerctl/tests/cli/archive.rs
@@ -1,7 +1,7 @@
 //! `salttillerctl archive` as a process, against a stand-in state service on loopback.
 
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
+use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
@@ -9,86 +9,12 @@
 use salttiller_testkit::StateService;
 use serde_json::{json, Value};
 
-const CTL: &str = env!("CARGO_BIN_EXE_salttillerctl");
-const REQUESTS_PER_SECOND: f64 = 200.0;
-
-/// A folder of a test, gone when the test ends.
-struct Folder(PathBuf);
-
-impl Folder {
-    fn new(name: &str) -> Self {
-        let path =
-            std::env::temp_dir().join(format!("salttillerctl-{}-{name}", std::process::id()));
-        let _ = std::fs::remove_dir_all(&path);
-        std::fs::create_dir_all(&path).unwrap();
-        Folder(path)
-    }
-
-    fn file(&self, name: &str) -> PathBuf {
-        self.0.join(name)
-    }
-
-    /// Settings of a deployment whose state service is the given one.
-    fn settings(&self, state_service: std::net::SocketAddr) -> PathBuf {
-        let settings = json!({
-            "host_name": "t-0", "area": "a", "front": "127.0.0.1:1", "mesh_addr": "127.0.0.1:2",
-            "others": [{"host_name": "t-1", "area": "a", "addr": "127.0.0.1:3"}],
-            "outside": {"cloud": "127.0.0.1:4", "state": state_service.to_string()},
-            "facts": {"size": 2, "zones": ["a"], "teams": [], "objectives": [],
-                "workers": {"report_s": 3.0, "lease_s": 15.0, "gang_wait_s": 9.0,
-                    "gang_peer_s": 3.0, "cancel_s": 40.0},
-                "state": {"rps": REQUESTS_PER_SECOND, "write_rps": 50.0, "value_kb": 4.0,
-                    "txn_ops": 12},
-                "cloud": {"rps": 3.0, "list_lag_s": 8.0},
-                "quota": {"cores": 0.2, "ram_mb": 200.0, "fd_limit": 500},
-                "clock_off_ms": 5.0}
-        });
-        let path = self.file("settings.json");
-        std::fs::write(&path, settings.to_string()).unwrap();
-        path
-    }
-
-    fn ini(&self, text: &str) -> PathBuf {
-        let path = self.file("archive.ini");
-        std::fs::write(&path, text).unwrap();
-        path
-    }
-}
+use crate::common::{ctl, good, output, text, Folder, REQUESTS_PER_SECOND};
 
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
+const CTL: &str = env!("CARGO_BIN_EXE_salttillerctl");
 
 const FAST: &str = "[archive]\nrequest_share = 0.25\nwatch_s = 0.05\nimage_every_s = 1\n";
 
-fn ctl(args: &[&str]) -> Command {
-    let mut command = Command::new(CTL);
-    command.args(args).env("LOG_LEVEL", "error");
-    command
-}
-
-fn text(path: &Path) -> &str {
-    path.to_str().unwrap()
-}
-
-fn output(command: &mut Command) -> Output {
-    command.output().unwrap()
-}
-
-/// Runs a command that must succeed; its standard output.
-fn good(command: &mut Command) -> String {
-    let done = output(command);
-    let errors = String::from_utf8_lossy(&done.stderr);
-    assert!(
-        done.status.success(),
-        "{command:?}: {}: {errors}",
-        done.status
-    );
-    String::from_utf8(done.stdout).unwrap()
-}
-
 fn exported(archive: &Path, revision: Option<u64>, segment: Option<u64>) -> Value {
     let mut command = ctl(&["archive", "export", text(archive)]);
     for (flag, value) in [("--revision", revision), ("--segment", segment)] {
--- a/src/fault_injection.rs
+++ b/src/fault_injection.rs
@@ -32,6 +32,15 @@
     BootTrouble,
     /// A job that fails wherever it runs is tried a little at a time.
     SuspectJobs,
+    /// A history that isn't the one that was known is noticed.
+    KnownHistory,
+    /// What workers report is held against the records.
+    ReportEvidence,
+    /// After a start unknown jobs are neither accepted nor denied until workers had the time
+    /// to report.
+    ProvenStart,
+    /// The tokens of a hold are above all that were seen.
+    SufficientToken,
     /// A gang that lacks its team's share keeps others from starting for a while only.
     ShareHoldLimit,
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -19,6 +19,7 @@
 use crate::status::conditions::QuestionRate;
 use crate::status::{self as signals, Aims};
 use crate::workers;
+use held::Held;
 use pending::PendingRequests;
 use reachability::{Redirects, Releases, UnreachedNews};
 use salttiller_protocol::http::{Request, Response};
@@ -26,6 +27,7 @@
 use salttiller_records::model::{is_job_id, JobSpec};
 use salttiller_records::record::{value, JobRecord, LeaderRecord, RegionRecord, Stage};
 use salttiller_records::units::{Micros, MILLI, SECOND};
+use salttiller_recovery::Detection;
 
 const STORE: usize = 0;
 const CLOUD: usize = 1;
@@ -71,6 +73,11 @@
     },
     Lead,
     Leader(Vec<Key>),
+    HoldRecord,
+    HoldRegion {
+        region: String,
+        token: u64,
+    },
 }
 
 /// How the taking of a region stands.
@@ -143,6 +150,12 @@
     aims_next: Micros,
     /// Jobs that waited for others without a record when last looked at.
     missing_needs: usize,
+    /// Looks for lost records, if operators want that.
+    detection: Option<Detection>,
+    /// Set while the state service is known to have lost records.
+    held: Option<Box<Held>>,
+    /// Regions that were ours until the owner's lease was gone, and when that was noticed.
+    lost_with_lease: Option<(Micros, BTreeSet<String>)>,
     now: Micros,
 }
 
@@ -178,6 +191,7 @@
 }
 
 mod commits;
+mod held;
 mod leadership;
 mod messages;
 mod pending;
@@ -258,6 +272,9 @@
             question_rate: QuestionRate::default(),
             aims_next: 0,
             missing_needs: 0,
+            detection: None,
+            held: None,
+            lost_with_lease: None,
             now: 0,
             settings,
         }
@@ -275,6 +292,10 @@
         );
         self.now = self.reactor.clock();
         self.registry.want_grant(GrantName::Owner);
+        if self.settings.operator.detect_lost_records {
+            let detection = Detection::starting(self.now, self.settings.report);
+            self.detection = Some(detection);
+        }
     }
 
     /// Takes something that came from the network.
@@ -369,10 +390,15 @@
     pub fn step(&mut self) -> Micros {
         self.now = self.reactor.clock();
         let mut until = self.now + SECOND;
-        self.manage_regions();
-        self.manage_leader();
-        until = until.min(self.run_regions());
-        until = until.min(self.run_leader());
+        self.heed_hold_record();
+        if self.held.is_some() {
+            until = until.min(self.manage_hold());
+        } else {
+            self.manage_regions();
+            self.manage_leader();
+            until = until.min(self.run_regions());
+            until = until.min(self.run_leader());
+        }
         if self.now >= self.mesh_next {
             self.mesh_next = self.now + MESH_EVERY;
             self.send_state();
@@ -467,6 +493,7 @@
                 RegistryEvent::Changed(keys) => self.on_changed(keys),
                 RegistryEvent::Barrier(sent) => {
                     self.limiter.measured(self.now - sent, self.now);
+                    self.on_barrier_for_detection(sent);
                     self.answer_waiting(sent);
                 }
                 RegistryEvent::BarrierFailed(sent) => {
@@ -481,6 +508,8 @@
                     // past: under another run's name they can only be taken
                     // anew, by compare-and-set, never just resumed.
                     self.run = fastrand::u64(1..1 << 53);
+                    let names = self.regions.keys().cloned().collect();
+                    self.lost_with_lease = Some((self.now, names));
                     for (name, r) in std::mem::take(&mut self.regions) {
                         log::info!(
                             "node: region {name}: lost with the grant, token {}",
@@ -489,6 +518,7 @@
                     }
                 }
                 RegistryEvent::LeaderGrantLost => self.step_down("grant lost"),
+                RegistryEvent::RecordsLost(finding) => self.hold(finding),
             }
         }
         for t in self.registry.take_times() {
@@ -554,7 +584,7 @@
                         r.on_progress(id, &view);
                     }
                 }
-                Key::Region(_) | Key::Leader | Key::Token => {}
+                Key::Region(_) | Key::Leader | Key::Token | Key::Hold => {}
                 Key::Machine(_) | Key::MachineBatch(_) | Key::Opened(..) => {}
             }
         }
--- a/src/node/commits.rs
+++ b/src/node/commits.rs
@@ -79,6 +79,10 @@
                 }
                 self.claims.insert(region, looking);
             }
+            Some(Ticket::HoldRecord) => self.on_hold_record_committed(looking),
+            Some(Ticket::HoldRegion { region, token }) => {
+                self.on_hold_region_committed(region, token, &outcome, looking);
+            }
             None => {}
         }
     }
--- a/src/node/regions.rs
+++ b/src/node/regions.rs
@@ -90,6 +90,7 @@
                             owner: self.settings.name.clone(),
                             run: self.run,
                             token,
+                            held: None,
                         })),
                     ),
                 ],
--- a/src/node/reports.rs
+++ b/src/node/reports.rs
@@ -10,6 +10,12 @@
         if !self.registry.loaded() {
             return self.refuse(conn, 503, 1);
         }
+        if self.held.is_some() {
+            return self.on_report_while_held(conn, &r);
+        }
+        if self.speaks_against_records(&r) {
+            return self.refuse(conn, 503, 1);
+        }
         let me = self.settings.name.clone();
         let elsewhere = |to: Option<&str>| Response::new(421, workers::elsewhere(to));
         let Some(rec) = self.registry.replica.machines.get(&r.machine) else {
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -7,7 +7,9 @@
     /// What is wrong just now, the gravest first.
     pub(super) fn cause(&self) -> &'static str {
         let unsettled = |(r, _): &(mesh::RegionReport, Micros)| !r.settled;
-        if self.registry.failing() {
+        if self.held.is_some() {
+            "state service lost records"
+        } else if self.registry.failing() {
             "state service down"
         } else if self.reports.len() < self.settings.size() || self.reports.values().any(unsettled)
         {
@@ -61,7 +63,7 @@
         let mut signals = self.aims.look(open, done, is_open, wall, self.cause());
         let conditions = self.conditions();
         signals.extend(self.aims.look_at_conditions(conditions, self.now));
-        if self.leader.is_some() {
+        if self.leader.is_some() || self.held.is_some() {
             for s in signals {
                 let level = if s.is_warning() {
                     log::Level::Warn
@@ -77,6 +79,7 @@
     /// What operators should know of just now, as far as this controller sees it.
     fn conditions(&mut self) -> Vec<Condition> {
         let mut found: Vec<Condition> = self.question_rate.look(self.now).into_iter().collect();
+        found.extend(self.records_lost());
         if let Some(l) = &self.leader {
             found.extend(l.boots.in_trouble().into_iter().map(|(offer, boots)| {
                 Condition::BadBoots {
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -74,6 +74,9 @@
             Ok(x) => x,
             Err(_) => return self.reactor.respond(conn, Response::new(400, Vec::new())),
         };
+        if self.withholds(conn, &id) {
+            return;
+        }
         // A job that is known stays what it is, whatever the repeat says.
         if self.registry.replica.jobs.contains_key(&id) {
             return self.on_ask(
@@ -163,6 +166,9 @@
         if !is_job_id(id) {
             return self.reactor.respond(conn, Response::new(404, Vec::new()));
         }
+        if self.withholds(conn, id) {
+            return;
+        }
         // What is final needs no asking round.
         if let Some(stage) = self.registry.replica.stage(id) {
             if stage != Stage::Open {
@@ -221,6 +227,11 @@
             self.registry.want_barrier();
         }
         for w in ready {
+            if self.held.is_some() {
+                let (Ask::State { id, .. } | Ask::Cancel { id } | Ask::Submit { id, .. }) = &w.ask;
+                self.withholds(w.conn, id);
+                continue;
+            }
             match w.ask {
                 Ask::State { id, submitted } => {
                     let r = match self.registry.replica.stage(&id) {
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -11,6 +11,7 @@
 
 mod commits;
 mod grants;
+mod history;
 pub mod pipelines;
 mod reads;
 pub mod replica;
@@ -28,6 +29,7 @@
 use salttiller_protocol::state_service::{self, encode, Changes, Granted, Page, Refused, Revision};
 use salttiller_records::key::{Key, PREFIX};
 use salttiller_records::units::{shrink, Micros, MILLI, SECOND};
+use salttiller_recovery::{Finding, RecentChanges};
 
 /// A change of the records, all or nothing.
 #[derive(Debug, Clone, Default)]
@@ -72,6 +74,8 @@
     OwnerGrantLost,
     /// The leader's grant is gone.
     LeaderGrantLost,
+    /// The state service lost records.
+    RecordsLost(Finding),
 }
 
 /// How far an owner may act just now.
@@ -159,10 +163,19 @@
     state: GrantState,
 }
 
+/// What a watch was asked for.
+#[derive(Debug)]
+struct Watch {
+    /// Changes after this revision.
+    from: u64,
+    /// The changes that it must show, if it is to recognise the history.
+    compared: Option<RecentChanges>,
+}
+
 enum Op {
     Page { sent: Micros },
-    Follow,
-    Barrier { sent: Micros },
+    Follow { from: u64 },
+    Barrier { sent: Micros, watch: Watch },
     Ask(GrantName),
     Renew(GrantName),
     Commit(Box<Commit>),
@@ -252,6 +265,10 @@
     out: Vec<StoreCall>,
     commit_times: Vec<Micros>,
     commit_sent: BTreeMap<u64, Micros>,
+    /// The last changes, if lost records are looked for.
+    recent: Option<RecentChanges>,
+    /// After an interruption the next barrier recognises the history.
+    compare_next: bool,
     /// The time of the last call.
     now: Micros,
 }
@@ -315,6 +332,8 @@
             out: Vec::new(),
             commit_times: Vec::new(),
             commit_sent: BTreeMap::new(),
+            recent: s.operator.detect_lost_records.then(RecentChanges::default),
+            compare_next: false,
             now: 0,
         }
     }
@@ -430,16 +449,21 @@
         };
         match op {
             Op::Page { sent } => self.on_page(sent, result, now, events),
-            Op::Follow => {
+            Op::Follow { from } => {
                 self.follow_busy = false;
                 self.follow_next = now + self.follow_gap;
-                if !self.on_follow(result, now, events) {
+                let watch = Watch {
+                    from,
+                    compared: None,
+                };
+                if !self.on_follow(watch, result, now, events) {
+                    self.compare_next = true;
                     self.follow_next = now + 500 * MILLI;
                 }
             }
-            Op::Barrier { sent } => {
+            Op::Barrier { sent, watch } => {
                 self.barrier_busy = false;
-                if self.on_follow(result, now, events) {
+                if self.on_follow(watch, result, now, events) {
                     self.fresh_at = Some(self.fresh_at.unwrap_or(0).max(sent));
                     if self.failing {
                         log::info!("registry: state service: answers again");
@@ -451,6 +475,7 @@
                         log::info!("registry: state service: read failed");
                     }
                     self.failing = true;
+                    self.compare_next = true;
                     self.barrier_next = now + 250 * MILLI;
                     events.push(RegistryEvent::BarrierFailed(sent));
                 }
--- a/src/registry/grants.rs
+++ b/src/registry/grants.rs
@@ -108,6 +108,7 @@
             },
             Ok(r) if r.status == 404 => {
                 log::info!("registry: {name:?} grant {id}: ran out");
+                self.compare_next = true;
                 events.push(match name {
                     GrantName::Owner => RegistryEvent::OwnerGrantLost,
                     GrantName::Leader => RegistryEvent::LeaderGrantLost,
--- /dev/null
+++ b/src/registry/history.rs
@@ -0,0 +1,90 @@
+//! Whether the state service still has the history that we know.
+
+use super::*;
+use salttiller_records::history::Fingerprint;
+
+impl Registry {
+    /// What a barrier asks for: from our revision on, or from the last known changes on if the
+    /// history is to be recognised.
+    pub(super) fn barrier_watch(&mut self) -> Watch {
+        let compares = std::mem::take(&mut self.compare_next);
+        let compared = self.recent.clone().filter(|_| compares);
+        let from = match &compared {
+            Some(recent) => recent.compare_from(),
+            None => self.replica.revision,
+        };
+        Watch { from, compared }
+    }
+
+    /// What an answer shows against the history that we know, and notes its changes if nothing.
+    pub(super) fn recognise(&mut self, watch: &Watch, answer: &Changes) -> Option<Finding> {
+        let recent = self.recent.as_mut()?;
+        if is_left_out(Guard::KnownHistory) {
+            return None;
+        }
+        // The revision asked from was shown by the state service itself, so a late answer
+        // can't be below it.
+        let seen = watch
+            .compared
+            .as_ref()
+            .map_or(watch.from, RecentChanges::reached);
+        if answer.revision < seen {
+            let now = answer.revision;
+            return Some(Finding::RevisionWentBack { seen, now });
+        }
+        let shown: Vec<Fingerprint> = answer.events.iter().filter_map(fingerprint).collect();
+        let differs = |known: &RecentChanges| !known.agree_with(&shown);
+        if watch.compared.as_ref().is_some_and(differs) {
+            return Some(Finding::HistoryReplaced { seen });
+        }
+        recent.note(shown, answer.revision);
+        let never_deleted = |key: &str| matches!(Key::parse(key), Some(Key::Job(_) | Key::Token));
+        let gone = answer.events.iter().filter_map(|e| e.delete.as_deref());
+        let key = gone.into_iter().find(|key| never_deleted(key))?;
+        Some(Finding::RecordDeleted {
+            key: key.to_owned(),
+        })
+    }
+
+    /// What a full read shows against the copy that it replaces.
+    pub(super) fn missing_since(&self, fresh: &Replica) -> Option<Finding> {
+        self.recent.as_ref()?;
+        let (seen, now) = (self.replica.revision, fresh.revision);
+        if now < seen {
+            return Some(Finding::RevisionWentBack { seen, now });
+        }
+        let known = self.replica.jobs.keys();
+        let lost = known.into_iter().find(|id| !fresh.jobs.contains_key(*id))?;
+        Some(Finding::RecordDeleted {
+            key: Key::Job(lost.clone()).text(),
+        })
+    }
+
+    /// The history that we knew is gone: reads all that there is, under new grants, and sends
+    /// nothing that was meant for the old one. Returns the copy of what was.
+    pub fn forget_history(&mut self, events: &mut Vec<RegistryEvent>) -> Replica {
+        // Late answers to these would mix what was with what is.
+        self.ops.retain(|_, op| matches!(op, Op::Commit(_)));
+        (self.follow_busy, self.barrier_busy) = (false, false);
+        (self.follow_next, self.barrier_next) = (self.now, self.now);
+        self.load = Load::Needed { not_before: 0 };
+        self.fresh_at = None;
+        self.recent = Some(RecentChanges::default());
+        self.owner.state = GrantState::Wanted { not_before: 0 };
+        self.leader.state = GrantState::Unwanted;
+        for commit in self.queues.iter_mut().flat_map(std::mem::take) {
+            events.push(RegistryEvent::Committed(commit.ticket, Outcome::Refused));
+        }
+        std::mem::take(&mut self.replica)
+    }
+}
+
+fn fingerprint(event: &state_service::Event) -> Option<Fingerprint> {
+    let key = event.put.as_ref().or(event.delete.as_ref())?;
+    let value = event.value.as_ref().map(encode);
+    Some(Fingerprint::new(
+        event.version,
+        key.clone(),
+        value.as_deref(),
+    ))
+}
--- a/src/registry/reads.rs
+++ b/src/registry/reads.rs
@@ -56,8 +56,15 @@
                 self.barrier_busy = true;
                 self.barrier_wanted = false;
                 self.barrier_next = now + self.barrier_gap;
-                let target = format!("/follow?under={PREFIX}&from={from}&waitMs=0");
-                self.send(Op::Barrier { sent: now }, "GET", target, Vec::new(), SECOND);
+                let watch = self.barrier_watch();
+                let target = format!("/follow?under={PREFIX}&from={}&waitMs=0", watch.from);
+                self.send(
+                    Op::Barrier { sent: now, watch },
+                    "GET",
+                    target,
+                    Vec::new(),
+                    SECOND,
+                );
             } else {
                 *next = (*next).min(due.max(now + self.requests.wait(1.0)));
             }
@@ -70,7 +77,7 @@
                     FOLLOW_WAIT / MILLI
                 );
                 let timeout = FOLLOW_WAIT + 3 * SECOND;
-                self.send(Op::Follow, "GET", target, Vec::new(), timeout);
+                self.send(Op::Follow { from }, "GET", target, Vec::new(), timeout);
             } else {
                 *next = (*next).min(self.follow_next.max(now + self.requests.wait(1.0)));
             }
@@ -124,8 +131,13 @@
         // first page's revision; the marks tell which are known.
         fresh.reached(start.unwrap_or(0));
         let began = *sent;
-        self.replica = std::mem::take(fresh);
+        let fresh = std::mem::take(fresh);
+        let missing = self.missing_since(&fresh);
+        self.replica = *fresh;
         self.load = Load::Done;
+        if self.recent.is_some() {
+            self.recent = Some(RecentChanges::starting_at(self.replica.revision));
+        }
         log::info!(
             "registry: replica: read, revision {}, {} jobs, {} machines",
             self.replica.revision,
@@ -137,10 +149,12 @@
         }
         self.failing = false;
         events.push(RegistryEvent::Loaded);
+        events.extend(missing.map(RegistryEvent::RecordsLost));
     }
 
     pub(super) fn on_follow(
         &mut self,
+        watch: Watch,
         result: Result<Response, CallError>,
         now: Micros,
         events: &mut Vec<RegistryEvent>,
@@ -173,6 +187,10 @@
         let Some(f) = decode::<Changes>(&r.body) else {
             return false;
         };
+        if let Some(finding) = self.recognise(&watch, &f) {
+            events.push(RegistryEvent::RecordsLost(finding));
+            return false;
+        }
         let mut changed = Vec::new();
         for e in f.events {
             if let Some(k) = &e.put {
--- a/src/registry/replica.rs
+++ b/src/registry/replica.rs
@@ -11,8 +11,8 @@
 use salttiller_records::key::Key;
 use salttiller_records::model::{Flavor, JobSpec, RangeSet};
 use salttiller_records::record::{
-    JobRecord, LeaderRecord, MachineBatchRecord, MachineRecord, OpenedRecord, Part, QuotaRecord,
-    RegionRecord, Stage,
+    HoldRecord, JobRecord, LeaderRecord, MachineBatchRecord, MachineRecord, OpenedRecord, Part,
+    QuotaRecord, RegionRecord, Stage,
 };
 use salttiller_records::Amount;
 
@@ -35,6 +35,8 @@
     pub leader: Option<Versioned<LeaderRecord>>,
     /// Last token.
     pub token: Option<Versioned<u64>>,
+    /// That records were lost, and what operators decided.
+    pub hold: Option<Versioned<HoldRecord>>,
     /// Regions' owners.
     pub regions: BTreeMap<String, Versioned<RegionRecord>>,
     /// Machines, of lots and with records of their own.
@@ -118,6 +120,7 @@
                 .map_or(0, |v| v.mark),
             Key::Quota(t) => self.quotas.get(t).map_or(0, |v| v.mark),
             Key::Flavor(f) => self.flavors.get(f).map_or(0, |v| v.mark),
+            Key::Hold => self.hold.as_ref().map_or(0, |v| v.mark),
         }
     }
 
@@ -169,6 +172,14 @@
                 Some(v) => serde_json::from_value(v)
                     .map(|value| self.token = Some(Versioned { value, mark })),
             },
+            Key::Hold => match value {
+                None => {
+                    self.hold = None;
+                    Ok(())
+                }
+                Some(v) => serde_json::from_value(v)
+                    .map(|value| self.hold = Some(Versioned { value, mark })),
+            },
             Key::Region(r) => set(&mut self.regions, r.clone(), value, mark),
             Key::Machine(m) => match value.map(serde_json::from_value).transpose() {
                 Ok(rec) => {
--- a/src/settings/operator.rs
+++ b/src/settings/operator.rs
@@ -21,6 +21,8 @@
     pub alert_least: u32,
     /// How far above an aim it must be to count as met again, as a share.
     pub alert_margin: f64,
+    /// Whether to look for records that the state service lost, and to hold if it did.
+    pub detect_lost_records: bool,
 }
 
 impl Default for Operator {
@@ -33,6 +35,7 @@
             alert_window: 300 * units::SECOND,
             alert_least: 5,
             alert_margin: 0.05,
+            detect_lost_records: false,
         }
     }
 }
@@ -71,6 +74,15 @@
                         .filter(|c| !c.is_empty())
                         .collect();
                 }
+                (Some("recovery"), "detect") => {
+                    op.detect_lost_records = match value.trim() {
+                        "on" => true,
+                        "off" => false,
+                        other => {
+                            return Err(bad(field, format!("\"{other}\" is neither on nor off")))
+                        }
+                    };
+                }
                 (Some("renting"), "idle_s") => op.idle = Some(seconds(1.0, 3600.0)?),
                 (Some("renting"), "horizon_s") => op.horizon = Some(seconds(1.0, 3600.0)?),
                 (Some("renting"), "headroom") => op.headroom = number(0.0, 10.0)?,
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -100,12 +100,17 @@
     .unwrap();
     assert_eq!(ok.precedence, ["a", "b"]);
     assert_eq!(ok.idle, Some(30 * units::SECOND));
+    assert!(!ok.detect_lost_records);
+    let deployed = include_str!("../../deploy/recovery.ini");
+    let on = parse_ini("i", deployed, Operator::default()).unwrap();
+    assert!(on.detect_lost_records);
     for (text, names) in [
         ("[classes]\nprecedense = a\n", "classes.precedense"),
         ("[renting]\nidle_s = soon\n", "renting.idle_s"),
         ("[renting]\nidle_s = -4\n", "renting.idle_s"),
         ("[renting]\nheadroom = NaN\n", "renting.headroom"),
         ("idle_s = 4\n", "idle_s"),
+        ("[recovery]\ndetect = maybe\n", "recovery.detect"),
     ] {
         let e = parse_ini("the-ini", text, Operator::default())
             .unwrap_err()
--- a/src/sim.rs
+++ b/src/sim.rs
@@ -20,6 +20,7 @@
 mod compound_failures;
 mod faults;
 mod invariants;
+mod lost_records;
 mod partial_failures;
 mod pipelines;
 mod scale;
@@ -201,6 +202,15 @@
     watches: BTreeMap<u64, (usize, u64, CallId, u64)>,
     next_watch: u64,
     down: Micros,
+    /// A copy of the records to set the store back to: revision, records, changes.
+    backup: Backup,
+}
+
+#[derive(Default, Clone)]
+struct Backup {
+    revision: u64,
+    data: BTreeMap<String, (Value, u64, Option<u64>)>,
+    log: Vec<(u64, String, Option<Value>)>,
 }
 
 struct Job {
--- a/src/sim/compound_failures.rs
+++ b/src/sim/compound_failures.rs
@@ -29,7 +29,7 @@
     ]
 }
 
-fn compound_failures() -> Vec<CompoundFailure> {
+pub(super) fn compound_failures() -> Vec<CompoundFailure> {
     vec![
         CompoundFailure {
             name: "the gap",
--- a/src/sim/faults.rs
+++ b/src/sim/faults.rs
@@ -56,10 +56,27 @@
     QuestionStorm(Micros),
     /// Users don't reach this controller.
     CutUsers(usize, Micros),
+    /// The state service's records are copied, to be set back to later.
+    Backup,
+    /// The state service loses records.
+    LoseRecords(Loss),
     /// A zone is cut off: this controller and the machines that report to it.
     Zone(usize, Micros),
 }
 
+/// What the state service loses.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Loss {
+    /// Everything.
+    All,
+    /// What came after the copy.
+    SinceBackup,
+    /// The same, and its revision is past the one that was lost.
+    SinceBackupAndGrown,
+    /// Every other job, with nothing to show it.
+    SomeJobs,
+}
+
 impl World {
     pub(super) fn fault(&mut self, f: Fault) {
         let now = self.now;
@@ -109,6 +126,14 @@
                     }
                 }
             }
+            Fault::Backup => {
+                self.store.backup = Backup {
+                    revision: self.store.revision,
+                    data: self.store.data.clone(),
+                    log: self.store.log.clone(),
+                };
+            }
+            Fault::LoseRecords(loss) => self.lose_records(loss),
             Fault::CancelAtEnd(d) => self.cancel_at_end = now + d,
             Fault::LowerLimits => (self.ops_most, self.value_most) = (4, 2048),
             Fault::HeldAnswers(d) => self.held_answers = now + d,
--- a/src/status/conditions.rs
+++ b/src/status/conditions.rs
@@ -46,6 +46,11 @@
         /// Machines that turn to this controller.
         machines: usize,
     },
+    /// The state service lost records; this controller holds.
+    RecordsLost {
+        /// What was seen.
+        seen: String,
+    },
     /// A job fails on machine after machine.
     JobFails {
         /// Job.
@@ -73,6 +78,9 @@
             Condition::OwnerUnreached { region, .. } => {
                 format!("workers of region {region} don't reach its owner")
             }
+            Condition::RecordsLost { .. } => {
+                "the state service lost records, nothing is started or accepted".to_owned()
+            }
             Condition::JobFails { job, team, class } => {
                 format!("{job} of team {team}, class {class}, fails on every machine")
             }
@@ -97,6 +105,7 @@
             Condition::OwnerUnreached { machines, .. } => {
                 write!(f, ": {machines} of them turn to this controller")
             }
+            Condition::RecordsLost { seen } => write!(f, ": {seen}"),
             Condition::JobFails { .. } => Ok(()),
         }
     }
