--- a/crates/archive/src/database.rs
+++ b/crates/archive/src/database.rs
@@ -674,20 +674,24 @@
         self.put_segment(id, &segment)
     }
 
+    /// Drops the batches that begin at a revision or later; the one that holds the change of
+    /// that revision stays whole.
     fn drop_changes_after(&mut self, revision: u64) -> Result<(), ArchiveError> {
         let (id, mut segment) = self.last_segment()?;
+        let mut until = revision;
         while segment.next_batch > segment.first_batch {
             let key = (id, segment.next_batch - 1);
             let newest = self.batches.get(key).map_err(self.fail())?;
             let batch: Option<ChangeBatch> = newest.and_then(|b| decode_entry(b.value()));
-            if batch.is_none_or(|b| b.until <= revision) {
+            let Some(batch) = batch.filter(|b| b.after >= revision) else {
                 break;
-            }
+            };
             let removed = self.batches.remove(key).map(drop);
             removed.map_err(self.fail())?;
             segment.next_batch -= 1;
+            until = batch.after;
         }
-        segment.until = revision;
+        segment.until = until;
         self.put_segment(id, &segment)
     }
 
--- a/crates/archive/src/reconstruct.rs
+++ b/crates/archive/src/reconstruct.rs
@@ -38,7 +38,7 @@
 }
 
 /// Makes a change to the records.
-pub fn apply_change(state: &mut State, change: Change) {
+fn apply_change(state: &mut State, change: Change) {
     match change.value {
         Some(value) => {
             let version = change.version;
@@ -72,33 +72,41 @@
         let images = view.complete_images(id)?;
         let image = images.into_iter().rev().find(|(_, at, _)| *at <= revision);
         if let Some((image_id, image_revision, image)) = image {
-            let mut found = Reconstructed {
+            let mut state = image_state(view, image_id)?;
+            let span = (image_revision, revision);
+            let changes = advance(view, id, &segment, &mut state, span)?;
+            return Ok(Reconstructed {
                 segment_id: id,
                 revision,
                 image_revision,
                 image_begun: image.begun,
-                changes: 0,
-                state: image_state(view, image_id)?,
+                changes,
+                state,
                 segment,
-            };
-            apply_changes(view, &mut found)?;
-            return Ok(found);
+            });
         }
     }
     Err(ArchiveError::NotKept(not_kept(moment)))
 }
 
-fn apply_changes(view: &View, found: &mut Reconstructed) -> Result<(), ArchiveError> {
-    let (after, until) = (found.image_revision, found.revision);
-    let first = found.segment.first_batch;
-    view.each_batch(found.segment_id, first, |_, batch| {
+/// Makes the changes of a segment after one revision up to another; returns how many.
+pub fn advance(
+    view: &View,
+    segment_id: u64,
+    segment: &Segment,
+    state: &mut State,
+    (after, until): (u64, u64),
+) -> Result<u64, ArchiveError> {
+    let mut applied = 0;
+    view.each_batch(segment_id, segment.first_batch, |_, batch| {
         let wanted = |c: &Change| c.version > after && c.version <= until;
         for change in batch.changes.into_iter().filter(wanted) {
-            found.changes += 1;
-            apply_change(&mut found.state, change);
+            applied += 1;
+            apply_change(state, change);
         }
         Ok(())
-    })
+    })?;
+    Ok(applied)
 }
 
 fn not_kept(moment: Moment) -> String {
--- a/crates/archive/src/recorder.rs
+++ b/crates/archive/src/recorder.rs
@@ -151,15 +151,6 @@
     Recording,
 }
 
-/// Whose the changes are that came since the last comparison, when continuity is lost.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Tail {
-    /// Of the segment's history.
-    Ours,
-    /// Perhaps of the history that replaced it.
-    InDoubt,
-}
-
 /// An image that is being read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Reading {
@@ -350,7 +341,7 @@
     fn on_not_kept(&mut self, wall: Micros) -> Vec<Action> {
         let Phase::ReadingContext { gap, after, depth } = &mut self.phase else {
             // What came since the last comparison can no longer be compared.
-            return self.lose_continuity(GapCause::ChangesNotKept, Tail::InDoubt, wall);
+            return self.lose_continuity(GapCause::ChangesNotKept, self.verified, wall);
         };
         if *depth > 0 {
             *depth /= CONTEXT_SHRINKS;
@@ -375,26 +366,30 @@
         }
     }
 
-    /// Whose the changes since the last comparison are, now that the store shows another
-    /// history. Those that it shows too came from it, unnoticed; others it never had.
-    fn judge_tail(&self, shown: &[Fingerprint]) -> Tail {
-        let last = self.recent.last().filter(|c| c.version > self.verified);
-        match last {
-            Some(change) if shown.contains(change) => Tail::InDoubt,
-            _ => Tail::Ours,
+    /// Up to which revision the archived changes are ours, now that the store shows another
+    /// history. The last ones that it shows too came from it, unnoticed; before them stand
+    /// those that it never had.
+    fn ours_until(&self, shown: &[Fingerprint]) -> u64 {
+        let tail = self.recent.iter().filter(|c| c.version > self.verified);
+        let mut newest_first = tail.rev().peekable();
+        if newest_first.peek().is_none_or(|c| !shown.contains(c)) {
+            return self.cursor;
         }
+        let last_of_ours = newest_first.find(|c| !shown.contains(c));
+        last_of_ours.map_or(self.verified, |c| c.version)
     }
 
     /// The segment ends here; the next one starts with an image.
-    fn lose_continuity(&mut self, cause: GapCause, tail: Tail, wall: Micros) -> Vec<Action> {
+    fn lose_continuity(
+        &mut self,
+        cause: GapCause,
+        after_revision: u64,
+        wall: Micros,
+    ) -> Vec<Action> {
         if let Phase::ReadingContext { gap, .. } = &self.phase {
             self.phase = Phase::Unanchored { gap: gap.clone() };
             return Vec::new();
         }
-        let after_revision = match tail {
-            Tail::Ours => self.cursor,
-            Tail::InDoubt => self.verified,
-        };
         tracing::warn!(
             ?cause,
             after_revision,
@@ -438,7 +433,7 @@
         let went_back = page.revision < cursor.max(reading.last_page);
         if went_back && !is_left_out(Guard::RevisionOrder) {
             let to = page.revision;
-            return self.lose_continuity(GapCause::RevisionWentBack { to }, Tail::Ours, wall);
+            return self.lose_continuity(GapCause::RevisionWentBack { to }, self.cursor, wall);
         }
         if reading.after_key.is_none() {
             actions.push(Action::BeginImage {
@@ -478,7 +473,7 @@
         };
         if answer.revision < stands_at && !is_left_out(Guard::RevisionOrder) {
             let to = answer.revision;
-            return self.lose_continuity(GapCause::RevisionWentBack { to }, Tail::Ours, wall);
+            return self.lose_continuity(GapCause::RevisionWentBack { to }, self.cursor, wall);
         }
         let Some(changes) = ordered_changes(&answer, *from) else {
             tracing::warn!("a change of the state service can't be read");
@@ -496,8 +491,8 @@
                 actions
             }
             Phase::Comparing if known != self.recent && !is_left_out(Guard::HistoryComparison) => {
-                let tail = self.judge_tail(&known);
-                self.lose_continuity(GapCause::HistoryReplaced, tail, wall)
+                let ours_until = self.ours_until(&known);
+                self.lose_continuity(GapCause::HistoryReplaced, ours_until, wall)
             }
             Phase::Comparing => self.on_same_history(new, &answer, now, wall),
             _ => self.add(new, answer.revision, wall),
--- a/crates/archive/src/recorder/tests.rs
+++ b/crates/archive/src/recorder/tests.rs
@@ -380,6 +380,42 @@
     }
 }
 
+/// Replaced with no connection breaking, and noticed only by a comparison: what came before
+/// that is kept to its last change, though it was never compared.
+#[test]
+fn a_silent_replacement_costs_nothing_that_was_recorded_before() {
+    let scratch = Scratch::new("silent");
+    let mut run = Run::new(&scratch);
+    let mut random = fastrand::Rng::with_seed(11);
+    (0..20).for_each(|_| run.history.change(&mut random));
+    while run.recorder.images_completed() == 0 {
+        run.step(&mut random, &[]);
+    }
+    run.recorder.schedule_image(u64::MAX);
+    let backup = run.history.clone();
+    while run.recorder.cursor < backup.revision + 10 {
+        run.step(&mut random, &[]);
+    }
+    let (lost, verified) = (run.recorder.cursor, run.recorder.verified);
+    assert!(verified < lost);
+    let truth = state_of(run.history.truth.range(..=lost).next_back().unwrap().1);
+    run.history = backup;
+    run.history.lineage = 1;
+    while run.history.revision < lost + 30 {
+        run.history.change(&mut random);
+    }
+    while run.archive.read(|v| v.segments()).unwrap().len() == 1 {
+        run.step(&mut random, &[]);
+    }
+    let first = Moment {
+        segment: Some(1),
+        revision: None,
+    };
+    let kept = run.archive.read(|view| at(view, first)).unwrap();
+    assert_eq!(kept.revision, lost);
+    assert!(kept.state == truth);
+}
+
 /// Each guard, left out, is noticed by the runs above or by one like them.
 #[test]
 fn without_its_guard_an_archive_is_wrong() {
--- a/crates/archive/src/verify.rs
+++ b/crates/archive/src/verify.rs
@@ -5,7 +5,7 @@
 use crate::database::{Archive, View};
 use crate::error::ArchiveError;
 use crate::form::{RecordDigest, Segment};
-use crate::reconstruct::{apply_change, image_state, State};
+use crate::reconstruct::{advance, image_state, State};
 
 /// What was checked and held.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize)]
@@ -93,7 +93,7 @@
             return Err(damaged(format!("image {image_id} fails its digest")));
         }
         if let Some((from, mut older)) = previous.take() {
-            advance(view, id, segment, &mut older, from, revision)?;
+            advance(view, id, segment, &mut older, (from, revision))?;
             if older != state {
                 let reason = format!(
                     "image {image_id} differs from the one before it with the changes between"
@@ -107,21 +107,3 @@
     }
     Ok(())
 }
-
-fn advance(
-    view: &View,
-    id: u64,
-    segment: &Segment,
-    state: &mut State,
-    after: u64,
-    until: u64,
-) -> Result<(), ArchiveError> {
-    view.each_batch(id, segment.first_batch, |_, batch| {
-        for change in batch.changes {
-            if change.version > after && change.version <= until {
-                apply_change(state, change);
-            }
-        }
-        Ok(())
-    })
-}
--- a/crates/recovery/src/detection/tests.rs
+++ b/crates/recovery/src/detection/tests.rs
@@ -86,6 +86,7 @@
     recent.note(history[..20].to_vec(), 30);
     recent.note(history[10..].to_vec(), 80);
     recent.note(history[..40].to_vec(), 50);
+    recent.confirm(80);
     let from = recent.compare_from();
     assert!((40..60).contains(&from), "{from}");
     let shown = |from: u64, until: u64, other_from: u64| -> Vec<Fingerprint> {
@@ -105,3 +106,21 @@
         assert_eq!(recent.agree_with(&shown), agree, "{name}");
     }
 }
+
+/// However many changes of another history came in unnoticed, it is told apart.
+#[test]
+fn many_new_changes_do_not_hide_a_replacement() {
+    let mut recent = RecentChanges::starting_at(10);
+    recent.note((11..=60).map(|v| change(v, "st/a")).collect(), 60);
+    recent.confirm(60);
+    recent.note((61..=200).map(|v| change(v, "st/b")).collect(), 200);
+    let from = recent.compare_from();
+    assert!((20..40).contains(&from), "{from}");
+    let shown = |other_from: u64| -> Vec<Fingerprint> {
+        (from + 1..=210)
+            .map(|v| change(v, if v >= other_from { "st/b" } else { "st/a" }))
+            .collect()
+    };
+    assert!(recent.agree_with(&shown(61)));
+    assert!(!recent.agree_with(&shown(50)));
+}
--- a/crates/recovery/src/recent.rs
+++ b/crates/recovery/src/recent.rs
@@ -1,14 +1,14 @@
-//! The last changes that a controller saw, by which it recognises the state service's history
-//! after it could not reach it for a while.
+//! The last changes that a controller saw, by which it recognises the state service's history.
+//!
+//! Kept are the last ones that were compared, and all since: were the newest alone kept, many
+//! changes of another history could push out those of ours before they are ever compared.
 
-use std::collections::VecDeque;
-
-use salttiller_records::history::{Fingerprint, RECOGNISED_CHANGES};
+use salttiller_records::history::{last_whole_revisions, Fingerprint};
 
 /// The last changes, in the order of their revisions.
 #[derive(Debug, Clone, Default)]
 pub struct RecentChanges {
-    changes: VecDeque<Fingerprint>,
+    changes: Vec<Fingerprint>,
     /// All changes up to this revision were noted.
     reached: u64,
 }
@@ -17,7 +17,7 @@
     /// Nothing is known but that all up to a revision was read.
     pub fn starting_at(revision: u64) -> Self {
         RecentChanges {
-            changes: VecDeque::new(),
+            changes: Vec::new(),
             reached: revision,
         }
     }
@@ -35,23 +35,19 @@
         changes.sort();
         self.changes.extend(changes);
         self.reached = self.reached.max(revision);
-        self.drop_oldest();
     }
 
-    /// Keeps [`RECOGNISED_CHANGES`], and the revision of the oldest of these whole.
-    fn drop_oldest(&mut self) {
-        let Some(first) = self.changes.len().checked_sub(RECOGNISED_CHANGES) else {
-            return;
-        };
-        let oldest = self.changes[first].version;
-        while self.changes.front().is_some_and(|c| c.version < oldest) {
-            self.changes.pop_front();
-        }
+    /// All changes up to a revision were compared: of these only the last are kept.
+    pub fn confirm(&mut self, until: u64) {
+        let compared = self.changes.partition_point(|c| c.version <= until);
+        let since = self.changes.split_off(compared);
+        self.changes = last_whole_revisions(std::mem::take(&mut self.changes));
+        self.changes.extend(since);
     }
 
     /// From which revision on to ask, so that the answer shows all changes that are known.
     pub fn compare_from(&self) -> u64 {
-        let oldest = self.changes.front();
+        let oldest = self.changes.first();
         oldest.map_or(self.reached, |c| c.version.saturating_sub(1))
     }
 
--- a/crates/testkit/src/state_service.rs
+++ b/crates/testkit/src/state_service.rs
@@ -47,6 +47,8 @@
     kept_changes: usize,
     /// Answered to all requests while set; 0: no answer at all.
     trouble: Option<u16>,
+    /// How often it was replaced; a watch of a former one is cut off.
+    replacements: u32,
     requests: Vec<Instant>,
     /// Everything that was ever true, for comparison: records by revision.
     truth: BTreeMap<u64, Records>,
@@ -75,6 +77,7 @@
                 next_lease: 1,
                 kept_changes: 10_000,
                 trouble: None,
+                replacements: 0,
                 requests: Vec::new(),
                 truth: BTreeMap::new(),
                 keep_truth: false,
@@ -132,6 +135,7 @@
     pub fn replace(&self, contents: Contents) {
         let mut store = self.store();
         store.contents = contents;
+        store.replacements += 1;
         store.attached.clear();
         store.leases.clear();
         let revision = store.contents.revision;
@@ -350,8 +354,12 @@
         let under = query_value(query, "under").unwrap_or("");
         let deadline = Instant::now() + Duration::from_millis(number("waitMs").unwrap_or(0));
         let mut store = self.lock();
+        let replacements = store.replacements;
         loop {
             store.expire_leases();
+            if store.replacements != replacements {
+                return None;
+            }
             if let Some(status) = store.trouble {
                 return trouble(status);
             }
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -47,7 +47,7 @@
 /// A term of leading.
 pub struct Leader {
     /// Revision of the leader's record: this term's name.
-    pub mark: u64,
+    pub version: u64,
     began: Micros,
     counter: u64,
     writing: BTreeSet<Key>,
@@ -224,9 +224,9 @@
 
 impl Leader {
     /// A term that begins with the leader's record at this revision.
-    pub fn new(mark: u64, view: &View<'_>) -> Self {
+    pub fn new(version: u64, view: &View<'_>) -> Self {
         let mut l = Leader {
-            mark,
+            version,
             began: view.now,
             counter: 0,
             writing: BTreeSet::new(),
@@ -270,7 +270,7 @@
             .filter(|(k, ..)| !self.writing.contains(k))
             .collect();
         for chunk in fresh.chunks(view.settings.txn_ops.min(8)) {
-            let mut when = vec![(Key::Leader, self.mark)];
+            let mut when = vec![(Key::Leader, self.version)];
             when.extend(chunk.iter().map(|(k, m, _)| (k.clone(), *m)));
             let keys: Vec<Key> = chunk.iter().map(|(k, ..)| k.clone()).collect();
             self.writing.extend(keys.iter().cloned());
--- a/src/leader/binding.rs
+++ b/src/leader/binding.rs
@@ -14,7 +14,7 @@
             .take(AT_ONCE)
             .filter_map(|id| {
                 let r = view.replica.jobs.get(id)?;
-                Some((Key::Job(id.clone()), r.mark, value(&r.value.cancelled())))
+                Some((Key::Job(id.clone()), r.version, value(&r.value.cancelled())))
             })
             .collect();
         if !changes.is_empty() {
@@ -83,7 +83,7 @@
                     }
                 }
             };
-            changes.push((Key::Job(id.clone()), rec.mark, value(&bound)));
+            changes.push((Key::Job(id.clone()), rec.version, value(&bound)));
         }
         self.commit(changes, Urgency::Next, view);
     }
--- a/src/leader/joint_gangs.rs
+++ b/src/leader/joint_gangs.rs
@@ -79,7 +79,7 @@
     /// An attempt that no owner and no other term ever uses.
     pub(super) fn next_attempt(&mut self) -> u64 {
         self.counter += 1;
-        (1 << 62) | (self.mark << 20) | (self.counter & 0xf_ffff)
+        (1 << 62) | (self.version << 20) | (self.counter & 0xf_ffff)
     }
 
     /// Gangs over several regions: started once all parts have room, given another
@@ -142,7 +142,7 @@
                     joint,
                     ..rec.value.clone()
                 };
-                (Key::Job(id), rec.mark, value(&new))
+                (Key::Job(id), rec.version, value(&new))
             })
             .collect();
         self.commit(changes, Urgency::Next, view);
--- a/src/leader/machines.rs
+++ b/src/leader/machines.rs
@@ -92,7 +92,7 @@
         let mut changes = Vec::new();
         for (i, chunk) in names.chunks(MAX_BATCH).enumerate() {
             self.counter += 1;
-            let id = format!("{}-{}-{}", view.settings.name, self.mark, self.counter);
+            let id = format!("{}-{}-{}", view.settings.name, self.version, self.counter);
             log::info!(
                 "leader: lot {id}: {} {} in {}{} dealt to {region}, from {}",
                 chunk.len(),
@@ -147,8 +147,8 @@
                     .filter_map(|f| {
                         let known = view.replica.flavors.get(&f.name);
                         known.is_none_or(|k| differs(k, f)).then(|| {
-                            let mark = known.map_or(0, |k| k.mark);
-                            (Key::Flavor(f.name.clone()), mark, value(f))
+                            let version = known.map_or(0, |k| k.version);
+                            (Key::Flavor(f.name.clone()), version, value(f))
                         })
                     })
                     .collect();
--- a/src/leader/renting.rs
+++ b/src/leader/renting.rs
@@ -211,7 +211,7 @@
         fleet: &mut Fleet,
     ) {
         self.counter += 1;
-        let tenancy = format!("{}-{}-{}", view.settings.name, self.mark, self.counter);
+        let tenancy = format!("{}-{}-{}", view.settings.name, self.version, self.counter);
         fleet.rent(offer, region, count, tenancy);
     }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -111,16 +111,16 @@
         .collect();
     if json {
         let v = serde_json::json!({"ok": true, "name": s.name, "regions": s.regions(), "teams": s.teams.len(),
-            "grant_life_ms": s.grant_life() / 1000, "precedence": s.operator.precedence,
+            "grant_life_ms": s.owner_lease_life() / 1000, "precedence": s.operator.precedence,
             "precedence_without_aim": unknown});
         println!("{v}");
     } else {
         println!(
-            "{}: usable; {} regions, {} teams, grant life {:.1} s, precedence: {}",
+            "{}: usable; {} regions, {} teams, lease life {:.1} s, precedence: {}",
             s.name,
             s.regions().len(),
             s.teams.len(),
-            s.grant_life() as f64 / 1e6,
+            s.owner_lease_life() as f64 / 1e6,
             if s.operator.precedence.is_empty() {
                 "none".to_owned()
             } else {
--- a/src/node.rs
+++ b/src/node.rs
@@ -13,7 +13,7 @@
 use crate::reactor::{Call, CallError, CallId, ConnId, Limits, Net, NetEvent, Reactor};
 use crate::region::{self, Region, Verdict, View};
 use crate::registry::{
-    Authority, GrantName, Outcome, Registry, RegistryEvent, Txn, Urgency, FRESH_FOR,
+    Authority, LeaseName, Outcome, Registry, RegistryEvent, Txn, Urgency, FRESH_FOR,
 };
 use crate::settings::Settings;
 use crate::status::conditions::QuestionRate;
@@ -280,18 +280,18 @@
         }
     }
 
-    /// Says who this is and asks for the grant that all else hangs on.
+    /// Says who this is and asks for the lease that all else hangs on.
     pub fn begin(&mut self) {
         log::info!(
-            "node: {}: run {}, zone {}, {} peers, grant life {} ms",
+            "node: {}: run {}, zone {}, {} peers, owner lease {} ms",
             self.settings.name,
             self.run,
             self.settings.zone,
             self.settings.peers.len(),
-            self.settings.grant_life() / MILLI
+            self.settings.owner_lease_life() / MILLI
         );
         self.now = self.reactor.clock();
-        self.registry.want_grant(GrantName::Owner);
+        self.registry.want_lease(LeaseName::Owner);
         if self.settings.operator.detect_lost_records {
             let detection = Detection::starting(self.now, self.settings.report);
             self.detection = Some(detection);
@@ -503,7 +503,7 @@
                     self.expire_waiting();
                 }
                 RegistryEvent::Committed(ticket, outcome) => self.on_committed(ticket, outcome),
-                RegistryEvent::OwnerGrantLost => {
+                RegistryEvent::OwnerLeaseLost => {
                     // Records of ours that the replica still shows are of the
                     // past: under another run's name they can only be taken
                     // anew, by compare-and-set, never just resumed.
@@ -512,12 +512,12 @@
                     self.lost_with_lease = Some((self.now, names));
                     for (name, r) in std::mem::take(&mut self.regions) {
                         log::info!(
-                            "node: region {name}: lost with the grant, token {}",
+                            "node: region {name}: lost with the lease, token {}",
                             r.token
                         );
                     }
                 }
-                RegistryEvent::LeaderGrantLost => self.step_down("grant lost"),
+                RegistryEvent::LeaderLeaseLost => self.step_down("lease lost"),
                 RegistryEvent::RecordsLost(finding) => self.hold(finding),
             }
         }
--- a/src/node/held.rs
+++ b/src/node/held.rs
@@ -203,7 +203,7 @@
             accepted: None,
         };
         let txn = Txn {
-            when: vec![(Key::Hold, replica.mark(&Key::Hold))],
+            when: vec![(Key::Hold, replica.version(&Key::Hold))],
             apply: vec![(Key::Hold, Some(value(&record)))],
             lease: None,
         };
@@ -249,7 +249,7 @@
         if !home && now < absent_since + HOME_FIRST {
             return;
         }
-        let Some(lease) = self.registry.grant_id(GrantName::Owner) else {
+        let Some(lease) = self.registry.lease_id(LeaseName::Owner) else {
             return;
         };
         let recorded = replica.token.as_ref().map_or(0, |t| t.value);
@@ -267,8 +267,8 @@
         };
         let txn = Txn {
             when: vec![
-                (key.clone(), replica.mark(&key)),
-                (Key::Token, replica.mark(&Key::Token)),
+                (key.clone(), replica.version(&key)),
+                (Key::Token, replica.version(&Key::Token)),
             ],
             apply: vec![
                 (Key::Token, Some(value(&token))),
@@ -292,15 +292,15 @@
         outcome: &Outcome,
         looking: Claim,
     ) {
-        let former_owner_ends = stretch(self.settings.grant_life()) + AUTHORITY_MARGIN;
+        let former_owner_ends = stretch(self.settings.owner_lease_life()) + AUTHORITY_MARGIN;
         let Some(held) = &mut self.held else { return };
         held.claims.insert(region.clone(), looking);
         if !matches!(outcome, Outcome::Done(_)) {
             held.next_attempt = self.now + ATTEMPT_GAP;
             if matches!(outcome, Outcome::Refused) {
                 // The lease went in a further loss, before its renewal would show that.
-                self.registry.drop_grant(GrantName::Owner);
-                self.registry.want_grant(GrantName::Owner);
+                self.registry.drop_lease(LeaseName::Owner);
+                self.registry.want_lease(LeaseName::Owner);
             }
             return;
         }
--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -15,8 +15,8 @@
             return;
         }
         let rec = self.registry.replica.leader.as_ref();
-        let (mark, rec) = match rec {
-            Some(r) => (r.mark, Some(r.value.clone())),
+        let (version, rec) = match rec {
+            Some(r) => (r.version, Some(r.value.clone())),
             None => (0, None),
         };
         let ours = rec
@@ -25,7 +25,7 @@
         if self
             .leader
             .as_ref()
-            .is_some_and(|l| !ours || l.mark != mark)
+            .is_some_and(|l| !ours || l.version != version)
         {
             self.step_down("another is on record");
         }
@@ -36,17 +36,17 @@
         }
         if ours {
             if self.leader.is_none() && self.now < self.registry.leader_until() {
-                log::info!("node: leader: since revision {mark}");
+                log::info!("node: leader: since revision {version}");
                 let view = view!(self);
-                self.leader = Some(Leader::new(mark, &view));
+                self.leader = Some(Leader::new(version, &view));
             }
             return;
         }
         let stale_self = rec.as_ref().is_some_and(|r| r.holder == self.settings.name);
         if (rec.is_some() && !stale_self) || !self.fresh() {
             self.lead_at = None;
-            if rec.is_some() && self.registry.grant_id(GrantName::Leader).is_some() {
-                self.registry.drop_grant(GrantName::Leader);
+            if rec.is_some() && self.registry.lease_id(LeaseName::Leader).is_some() {
+                self.registry.drop_lease(LeaseName::Leader);
             }
             return;
         }
@@ -57,12 +57,12 @@
         if now < at {
             return;
         }
-        self.registry.want_grant(GrantName::Leader);
-        let Some(lease) = self.registry.grant_id(GrantName::Leader) else {
+        self.registry.want_lease(LeaseName::Leader);
+        let Some(lease) = self.registry.lease_id(LeaseName::Leader) else {
             return;
         };
         let txn = Txn {
-            when: vec![(Key::Leader, mark)],
+            when: vec![(Key::Leader, version)],
             apply: vec![(
                 Key::Leader,
                 Some(value(&LeaderRecord {
--- a/src/node/reachability.rs
+++ b/src/node/reachability.rs
@@ -218,15 +218,15 @@
                     && r.hears_few(able_since, &view)
             })
             .filter(|(r, _)| self.releases.may_release(&r.name, now))
-            .map(|(r, _)| (r.name.clone(), r.mark))
+            .map(|(r, _)| (r.name.clone(), r.version))
             .collect();
-        for (name, mark) in release {
+        for (name, version) in release {
             log::warn!("node: region {name}: released, its machines reach a peer and not us");
             // From here on nothing is commanded for it, whatever becomes of the commit.
             self.regions.remove(&name);
             self.unreached.remove(&name);
             self.releases.note_release(&name, now);
-            self.give_up(name, mark);
+            self.give_up(name, version);
         }
     }
 }
--- a/src/node/regions.rs
+++ b/src/node/regions.rs
@@ -11,8 +11,8 @@
         self.release_unreached();
         for name in self.settings.regions() {
             let rec = self.registry.replica.regions.get(&name);
-            let (mark, rec) = match rec {
-                Some(r) => (r.mark, Some(r.value.clone())),
+            let (version, rec) = match rec {
+                Some(r) => (r.version, Some(r.value.clone())),
                 None => (0, None),
             };
             let ours = rec
@@ -37,11 +37,11 @@
             }
             if ours && !self.retake.contains(&name) {
                 // Ours on record, and the replica holds all that came before.
-                if !self.regions.contains_key(&name) && self.registry.replica.revision >= mark {
+                if !self.regions.contains_key(&name) && self.registry.replica.revision >= version {
                     let token = rec.map_or(0, |r| r.token);
                     log::info!("node: region {name}: taken, token {token}");
                     let view = view!(self);
-                    let region = Region::new(&name, token, mark, &view);
+                    let region = Region::new(&name, token, version, &view);
                     self.regions.insert(name.clone(), region);
                     self.claims.remove(&name);
                 }
@@ -56,7 +56,7 @@
                 .is_some_and(|r| r.owner == self.settings.name && r.run != self.run);
             if left && !home && !self.retake.contains(&name) {
                 log::info!("node: region {name}: left by our former life, given up");
-                self.give_up(name, mark);
+                self.give_up(name, version);
                 continue;
             }
             let take = match &rec {
@@ -72,15 +72,15 @@
             if !take || (rec.is_none() && self.releases.is_left(&name, self.now)) {
                 continue;
             }
-            let Some(lease) = self.registry.grant_id(GrantName::Owner) else {
+            let Some(lease) = self.registry.lease_id(LeaseName::Owner) else {
                 continue;
             };
             let token = self.registry.replica.token.as_ref().map_or(0, |t| t.value) + 1;
             let key = Key::Region(name.clone());
             let txn = Txn {
                 when: vec![
-                    (key.clone(), mark),
-                    (Key::Token, self.registry.replica.mark(&Key::Token)),
+                    (key.clone(), version),
+                    (Key::Token, self.registry.replica.version(&Key::Token)),
                 ],
                 apply: vec![
                     (Key::Token, Some(value(&token))),
@@ -134,19 +134,19 @@
                     .is_some_and(|p| p.well_since.is_some_and(|w| now > w + RETURN_AFTER))
         });
         let Some(r) = back else { return };
-        let (name, mark) = (r.name.clone(), r.mark);
+        let (name, version) = (r.name.clone(), r.version);
         log::info!("node: region {name}: handed back to its home");
         // From here on nothing is commanded for it, whatever becomes of the commit.
         self.regions.remove(&name);
-        self.give_up(name, mark);
+        self.give_up(name, version);
     }
 
     /// Deletes a region's record as it stands, so that its home may take it.
-    pub(super) fn give_up(&mut self, name: String, mark: u64) {
+    pub(super) fn give_up(&mut self, name: String, version: u64) {
         self.claims.insert(name.clone(), Claim::Committing);
         let key = Key::Region(name.clone());
         let txn = Txn {
-            when: vec![(key.clone(), mark)],
+            when: vec![(key.clone(), version)],
             apply: vec![(key, None)],
             lease: None,
         };
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -269,7 +269,7 @@
         let key = Key::Job(id.clone());
         let rec = r.value.cancelled();
         let txn = Txn {
-            when: vec![(key.clone(), r.mark)],
+            when: vec![(key.clone(), r.version)],
             apply: vec![(key, Some(value(&rec)))],
             lease: None,
         };
--- a/src/region.rs
+++ b/src/region.rs
@@ -146,7 +146,7 @@
     /// Token of this ownership.
     pub token: u64,
     /// Revision of the region's record.
-    pub mark: u64,
+    pub version: u64,
     settled: bool,
     taken_at: Micros,
     machines: BTreeMap<Rc<str>, Machine>,
@@ -205,11 +205,11 @@
     /// Takes up a region whose record was just committed as ours. The replica
     /// must be complete up to that commit, so that every machine and every job
     /// a former owner may have touched is in it.
-    pub fn new(name: &str, token: u64, mark: u64, view: &View<'_>) -> Self {
+    pub fn new(name: &str, token: u64, version: u64, view: &View<'_>) -> Self {
         let mut r = Region {
             name: name.to_owned(),
             token,
-            mark,
+            version,
             settled: false,
             taken_at: view.now,
             machines: BTreeMap::new(),
--- a/src/region/machine_records.rs
+++ b/src/region/machine_records.rs
@@ -63,7 +63,7 @@
                     let mut rec = m.rec.clone();
                     rec.opened = true;
                     let key = Key::Machine(name.to_string());
-                    when.push((key.clone(), view.replica.mark(&key)));
+                    when.push((key.clone(), view.replica.version(&key)));
                     apply.push((key, Some(value(&rec))));
                     names.push(name.clone());
                 }
@@ -98,7 +98,7 @@
         }
         for (n, roll) in rolls {
             let key = Key::Opened(self.name.clone(), n);
-            when.push((key.clone(), view.replica.mark(&key)));
+            when.push((key.clone(), view.replica.version(&key)));
             apply.push((key, Some(value(&roll))));
         }
         if names.is_empty() {
@@ -121,7 +121,7 @@
             match &m.rec.lot {
                 None if apply.len() + lots.len() < most => {
                     let key = Key::Machine(name.to_string());
-                    when.push((key.clone(), view.replica.mark(&key)));
+                    when.push((key.clone(), view.replica.version(&key)));
                     apply.push((key, None));
                     names.push(name.clone());
                 }
@@ -142,7 +142,7 @@
         }
         for (lot, rec) in lots {
             let key = Key::MachineBatch(lot.to_string());
-            when.push((key.clone(), view.replica.mark(&key)));
+            when.push((key.clone(), view.replica.version(&key)));
             let empty = rec.machines.iter().all(String::is_empty);
             apply.push((key, (!empty).then(|| value(&rec))));
         }
--- a/src/region/records.rs
+++ b/src/region/records.rs
@@ -101,7 +101,7 @@
     }
 
     pub(super) fn when(&self) -> Vec<(Key, u64)> {
-        vec![(Key::Region(self.name.clone()), self.mark)]
+        vec![(Key::Region(self.name.clone()), self.version)]
     }
 
     /// Has changes committed that rely on these revisions.
@@ -137,7 +137,7 @@
         }
         let mut all = view.replica.done_tasks(id);
         all.add_all(&job.pending);
-        let job_mark = view.replica.mark(&Key::Job(id.to_string()));
+        let job_mark = view.replica.version(&Key::Job(id.to_string()));
         let complete = job.complete(all.len());
         if complete {
             let mut apply = vec![(
@@ -205,7 +205,7 @@
                     read_bitmap(&old.value, chunk, &mut set);
                 }
                 set.add_all(&job.pending);
-                when.push((key.clone(), view.replica.mark(&key)));
+                when.push((key.clone(), view.replica.version(&key)));
                 apply.push((key, Some(value(&bitmap(&set, chunk)))));
             }
         }
@@ -340,8 +340,8 @@
             }
             s.pending = Some(new);
             let key = Key::Quota(team.to_string());
-            let mut when = vec![(Key::Region(self.name.clone()), self.mark)];
-            when.push((key.clone(), rec.map_or(0, |r| r.mark)));
+            let mut when = vec![(Key::Region(self.name.clone()), self.version)];
+            when.push((key.clone(), rec.map_or(0, |r| r.version)));
             let apply = vec![(key, Some(value(&q)))];
             self.commit(when, apply, Urgency::Next, Purpose::Share(team.to_string()));
         }
@@ -412,7 +412,7 @@
         j.writing = true;
         let mut when = when;
         let key = Key::Job(job.to_owned());
-        when.push((key.clone(), rec.mark));
+        when.push((key.clone(), rec.version));
         let apply = vec![(
             key,
             Some(value(&JobRecord {
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -1,4 +1,4 @@
-//! Our side of the state service: the replica, grants, commits and the read
+//! Our side of the state service: the replica, leases, commits and the read
 //! barrier, paced under the service's rates.
 //!
 //! What makes it safe:
@@ -10,8 +10,8 @@
 //!   earlier than what they prove.
 
 mod commits;
-mod grants;
 mod history;
+mod leases;
 pub mod pipelines;
 mod reads;
 pub mod replica;
@@ -38,7 +38,7 @@
     pub when: Vec<(Key, u64)>,
     /// Puts and deletions.
     pub apply: Vec<(Key, Option<Value>)>,
-    /// Attach the puts of this key to this grant.
+    /// Attach the puts of this key to this lease.
     pub lease: Option<(Key, u64)>,
 }
 
@@ -70,10 +70,10 @@
     BarrierFailed(Micros),
     /// A commit ended.
     Committed(u64, Outcome),
-    /// The process's grant is gone, and all regions held under it.
-    OwnerGrantLost,
-    /// The leader's grant is gone.
-    LeaderGrantLost,
+    /// The process's lease is gone, and all regions held under it.
+    OwnerLeaseLost,
+    /// The leader's lease is gone.
+    LeaderLeaseLost,
     /// The state service lost records.
     RecordsLost(Finding),
 }
@@ -127,9 +127,9 @@
     unsure: bool,
 }
 
-/// One of the two grants a process may hold.
+/// One of the two leases a process may hold.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum GrantName {
+pub enum LeaseName {
     /// For regions.
     Owner,
     /// For leading.
@@ -137,7 +137,7 @@
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum GrantState {
+enum LeaseState {
     Unwanted,
     Wanted {
         not_before: Micros,
@@ -158,9 +158,9 @@
 }
 
 #[derive(Debug)]
-struct Grant {
+struct Lease {
     life: Micros,
-    state: GrantState,
+    state: LeaseState,
 }
 
 /// What a watch was asked for.
@@ -176,8 +176,8 @@
     Page { sent: Micros },
     Follow { from: u64 },
     Barrier { sent: Micros, watch: Watch },
-    Ask(GrantName),
-    Renew(GrantName),
+    Ask(LeaseName),
+    Renew(LeaseName),
     Commit(Box<Commit>),
 }
 
@@ -247,8 +247,8 @@
     barrier_wanted: bool,
     fresh_at: Option<Micros>,
     failing: bool,
-    owner: Grant,
-    leader: Grant,
+    owner: Lease,
+    leader: Lease,
     /// Commits that wait to be sent, by urgency.
     queues: [VecDeque<Commit>; 3],
     ops: BTreeMap<u64, Op>,
@@ -269,6 +269,8 @@
     recent: Option<RecentChanges>,
     /// After an interruption the next barrier recognises the history.
     compare_next: bool,
+    /// When the next barrier does so without one.
+    compare_at: Micros,
     /// The time of the last call.
     now: Micros,
 }
@@ -311,13 +313,13 @@
             barrier_wanted: false,
             fresh_at: None,
             failing: false,
-            owner: Grant {
-                life: s.grant_life(),
-                state: GrantState::Unwanted,
+            owner: Lease {
+                life: s.owner_lease_life(),
+                state: LeaseState::Unwanted,
             },
-            leader: Grant {
+            leader: Lease {
                 life: 4 * SECOND,
-                state: GrantState::Unwanted,
+                state: LeaseState::Unwanted,
             },
             queues: Default::default(),
             ops: BTreeMap::new(),
@@ -334,6 +336,7 @@
             commit_sent: BTreeMap::new(),
             recent: s.operator.detect_lost_records.then(RecentChanges::default),
             compare_next: false,
+            compare_at: 0,
             now: 0,
         }
     }
@@ -370,7 +373,7 @@
     /// Until when an owner may answer reports.
     pub fn authority_until(&self) -> Micros {
         let renewed = match self.owner.state {
-            GrantState::Held { renewed, .. } | GrantState::Renewing { renewed, .. } => renewed,
+            LeaseState::Held { renewed, .. } | LeaseState::Renewing { renewed, .. } => renewed,
             _ => return 0,
         };
         match self.fresh_at {
@@ -382,7 +385,7 @@
     /// Until when a leader may think itself one.
     pub fn leader_until(&self) -> Micros {
         match self.leader.state {
-            GrantState::Held { renewed, .. } | GrantState::Renewing { renewed, .. } => {
+            LeaseState::Held { renewed, .. } | LeaseState::Renewing { renewed, .. } => {
                 (renewed + shrink(self.leader.life)).saturating_sub(MARGIN)
             }
             _ => 0,
@@ -425,8 +428,8 @@
         self.requests.fill(now);
         self.writes.fill(now);
         let mut next = now + SECOND;
-        for name in [GrantName::Owner, GrantName::Leader] {
-            self.pump_grant(name, now, &mut next);
+        for name in [LeaseName::Owner, LeaseName::Leader] {
+            self.pump_lease(name, now, &mut next);
         }
         self.pump_load(now, &mut next);
         if self.loaded() {
--- a/src/registry/commits.rs
+++ b/src/registry/commits.rs
@@ -99,7 +99,7 @@
         self.in_flight -= 1;
         match &result {
             Ok(r) if r.status == 429 => {
-                let leads = self.grant_id(GrantName::Leader).is_some();
+                let leads = self.lease_id(LeaseName::Leader).is_some();
                 let floor = write_floor(self.writes_least, self.controllers, leads);
                 self.writes.rate = (self.writes.rate * 0.7).max(floor);
             }
@@ -133,7 +133,7 @@
             _ => None,
         };
         if let Some(end) = end {
-            if let Outcome::Done(mark) = end {
+            if let Outcome::Done(version) = end {
                 self.commit_times.push(now - sent_at);
                 log::debug!(
                     "registry: commit: {} changes, first {}, {} ms after it was asked for, {} waiting",
@@ -144,7 +144,7 @@
                 );
                 let mut keys = Vec::new();
                 for (k, v) in c.txn.apply {
-                    self.replica.own(&k, v, mark);
+                    self.replica.own(&k, v, version);
                     keys.push(k);
                 }
                 events.push(RegistryEvent::Committed(c.ticket, end));
@@ -192,7 +192,7 @@
         .first()
         .map_or_else(String::new, |(k, _)| k.text());
     if reason.contains("lease") {
-        log::info!("registry: commit: {first}: the grant has ended");
+        log::info!("registry: commit: {first}: the lease has ended");
     } else {
         log::error!("registry: commit: {first}: refused, {reason}");
     }
--- a/src/registry/history.rs
+++ b/src/registry/history.rs
@@ -3,11 +3,14 @@
 use super::*;
 use salttiller_records::history::Fingerprint;
 
+/// How often the history is recognised without an interruption.
+const COMPARE_EVERY: Micros = 30 * SECOND;
+
 impl Registry {
     /// What a barrier asks for: from our revision on, or from the last known changes on if the
     /// history is to be recognised.
     pub(super) fn barrier_watch(&mut self) -> Watch {
-        let compares = std::mem::take(&mut self.compare_next);
+        let compares = std::mem::take(&mut self.compare_next) || self.now >= self.compare_at;
         let compared = self.recent.clone().filter(|_| compares);
         let from = match &compared {
             Some(recent) => recent.compare_from(),
@@ -37,6 +40,10 @@
         if watch.compared.as_ref().is_some_and(differs) {
             return Some(Finding::HistoryReplaced { seen });
         }
+        if watch.compared.is_some() {
+            recent.confirm(seen);
+            self.compare_at = self.now + COMPARE_EVERY;
+        }
         recent.note(shown, answer.revision);
         let never_deleted = |key: &str| matches!(Key::parse(key), Some(Key::Job(_) | Key::Token));
         let gone = answer.events.iter().filter_map(|e| e.delete.as_deref());
@@ -60,7 +67,7 @@
         })
     }
 
-    /// The history that we knew is gone: reads all that there is, under new grants, and sends
+    /// The history that we knew is gone: reads all that there is, under new leases, and sends
     /// nothing that was meant for the old one. Returns the copy of what was.
     pub fn forget_history(&mut self, events: &mut Vec<RegistryEvent>) -> Replica {
         // Late answers to these would mix what was with what is.
@@ -70,8 +77,8 @@
         self.load = Load::Needed { not_before: 0 };
         self.fresh_at = None;
         self.recent = Some(RecentChanges::default());
-        self.owner.state = GrantState::Wanted { not_before: 0 };
-        self.leader.state = GrantState::Unwanted;
+        self.owner.state = LeaseState::Wanted { not_before: 0 };
+        self.leader.state = LeaseState::Unwanted;
         for commit in self.queues.iter_mut().flat_map(std::mem::take) {
             events.push(RegistryEvent::Committed(commit.ticket, Outcome::Refused));
         }
--- a/src/registry/reads.rs
+++ b/src/registry/reads.rs
@@ -128,7 +128,7 @@
             return;
         }
         // Changes made while the pages were read come again by watching from the
-        // first page's revision; the marks tell which are known.
+        // first page's revision; the versions tell which are known.
         fresh.reached(start.unwrap_or(0));
         let began = *sent;
         let fresh = std::mem::take(fresh);
--- a/src/registry/replica.rs
+++ b/src/registry/replica.rs
@@ -22,7 +22,7 @@
     /// The record.
     pub value: T,
     /// Its revision.
-    pub mark: u64,
+    pub version: u64,
 }
 
 /// The copy. Equal to the state service as of `revision`, plus our own later
@@ -63,7 +63,7 @@
     pub quotas: BTreeMap<String, Versioned<QuotaRecord>>,
     /// Machine types.
     pub flavors: BTreeMap<String, Versioned<Flavor>>,
-    /// Our own changes beyond `revision`: key and mark (also of deletions), so
+    /// Our own changes beyond `revision`: key and version (also of deletions), so
     /// that an older event that comes in later can't undo them.
     ahead: BTreeMap<Key, u64>,
     /// Open jobs that are gangs over several regions.
@@ -83,12 +83,12 @@
     map: &mut BTreeMap<K, Versioned<T>>,
     k: K,
     value: Option<Value>,
-    mark: u64,
+    version: u64,
 ) -> Result<(), serde_json::Error> {
     match value {
         Some(v) => {
             let value = serde_json::from_value(v)?;
-            map.insert(k, Versioned { value, mark });
+            map.insert(k, Versioned { value, version });
         }
         None => {
             map.remove(&k);
@@ -100,33 +100,33 @@
 impl Replica {
     /// The revision of a record; 0 if there is none. This is what a transaction
     /// names as its condition.
-    pub fn mark(&self, key: &Key) -> u64 {
+    pub fn version(&self, key: &Key) -> u64 {
         match key {
-            Key::Leader => self.leader.as_ref().map_or(0, |v| v.mark),
-            Key::Token => self.token.as_ref().map_or(0, |v| v.mark),
-            Key::Region(r) => self.regions.get(r).map_or(0, |v| v.mark),
+            Key::Leader => self.leader.as_ref().map_or(0, |v| v.version),
+            Key::Token => self.token.as_ref().map_or(0, |v| v.version),
+            Key::Region(r) => self.regions.get(r).map_or(0, |v| v.version),
             Key::Machine(m) => self
                 .machines
                 .get(m)
                 .filter(|v| v.value.lot.is_none())
-                .map_or(0, |v| v.mark),
-            Key::MachineBatch(l) => self.batches.get(l).map_or(0, |v| v.mark),
-            Key::Opened(r, n) => self.opened.get(&(r.clone(), *n)).map_or(0, |v| v.mark),
-            Key::Job(j) => self.jobs.get(j).map_or(0, |v| v.mark),
+                .map_or(0, |v| v.version),
+            Key::MachineBatch(l) => self.batches.get(l).map_or(0, |v| v.version),
+            Key::Opened(r, n) => self.opened.get(&(r.clone(), *n)).map_or(0, |v| v.version),
+            Key::Job(j) => self.jobs.get(j).map_or(0, |v| v.version),
             Key::Progress(j, r, c) => self
                 .progress
                 .get(j)
                 .and_then(|p| p.get(&(r.clone(), *c)))
-                .map_or(0, |v| v.mark),
-            Key::Quota(t) => self.quotas.get(t).map_or(0, |v| v.mark),
-            Key::Flavor(f) => self.flavors.get(f).map_or(0, |v| v.mark),
-            Key::Hold => self.hold.as_ref().map_or(0, |v| v.mark),
+                .map_or(0, |v| v.version),
+            Key::Quota(t) => self.quotas.get(t).map_or(0, |v| v.version),
+            Key::Flavor(f) => self.flavors.get(f).map_or(0, |v| v.version),
+            Key::Hold => self.hold.as_ref().map_or(0, |v| v.version),
         }
     }
 
     /// Enters a change that the state service told us of. Returns the key if it
     /// changed anything here.
-    pub fn event(&mut self, key: &str, value: Option<Value>, mark: u64) -> Option<Key> {
+    pub fn event(&mut self, key: &str, value: Option<Value>, version: u64) -> Option<Key> {
         let Some(key) = Key::parse(key) else {
             log::debug!("registry: {key}: not ours, passed over");
             return None;
@@ -134,27 +134,27 @@
         // Guards against an answer to an older read that comes in late: the copy is
         // complete up to its revision, and what such an answer shows as there may
         // have been deleted since.
-        if mark <= self.revision
-            || mark <= self.mark(&key)
-            || self.ahead.get(&key).is_some_and(|m| mark <= *m)
+        if version <= self.revision
+            || version <= self.version(&key)
+            || self.ahead.get(&key).is_some_and(|m| version <= *m)
         {
             return None;
         }
-        self.write(&key, value, mark).then_some(key)
+        self.write(&key, value, version).then_some(key)
     }
 
-    /// Enters a change of our own that was answered with `mark`.
-    pub fn own(&mut self, key: &Key, value: Option<Value>, mark: u64) {
-        if mark <= self.mark(key) || self.ahead.get(key).is_some_and(|m| mark <= *m) {
+    /// Enters a change of our own that was answered with `version`.
+    pub fn own(&mut self, key: &Key, value: Option<Value>, version: u64) {
+        if version <= self.version(key) || self.ahead.get(key).is_some_and(|m| version <= *m) {
             return;
         }
-        if mark > self.revision {
-            self.ahead.insert(key.clone(), mark);
+        if version > self.revision {
+            self.ahead.insert(key.clone(), version);
         }
-        self.write(key, value, mark);
+        self.write(key, value, version);
     }
 
-    fn write(&mut self, key: &Key, value: Option<Value>, mark: u64) -> bool {
+    fn write(&mut self, key: &Key, value: Option<Value>, version: u64) -> bool {
         let done = match key {
             Key::Leader => match value {
                 None => {
@@ -162,7 +162,7 @@
                     Ok(())
                 }
                 Some(v) => serde_json::from_value(v)
-                    .map(|value| self.leader = Some(Versioned { value, mark })),
+                    .map(|value| self.leader = Some(Versioned { value, version })),
             },
             Key::Token => match value {
                 None => {
@@ -170,7 +170,7 @@
                     Ok(())
                 }
                 Some(v) => serde_json::from_value(v)
-                    .map(|value| self.token = Some(Versioned { value, mark })),
+                    .map(|value| self.token = Some(Versioned { value, version })),
             },
             Key::Hold => match value {
                 None => {
@@ -178,25 +178,25 @@
                     Ok(())
                 }
                 Some(v) => serde_json::from_value(v)
-                    .map(|value| self.hold = Some(Versioned { value, mark })),
+                    .map(|value| self.hold = Some(Versioned { value, version })),
             },
-            Key::Region(r) => set(&mut self.regions, r.clone(), value, mark),
+            Key::Region(r) => set(&mut self.regions, r.clone(), value, version),
             Key::Machine(m) => match value.map(serde_json::from_value).transpose() {
                 Ok(rec) => {
-                    self.enter_machine(m, rec, mark);
+                    self.enter_machine(m, rec, version);
                     Ok(())
                 }
                 Err(e) => Err(e),
             },
             Key::MachineBatch(l) => match value.map(serde_json::from_value).transpose() {
                 Ok(rec) => {
-                    self.enter_batch(l, rec, mark);
+                    self.enter_batch(l, rec, version);
                     Ok(())
                 }
                 Err(e) => Err(e),
             },
             Key::Opened(r, n) => {
-                let res = set(&mut self.opened, (r.clone(), *n), value, mark);
+                let res = set(&mut self.opened, (r.clone(), *n), value, version);
                 if res.is_ok() {
                     self.enter_opened(r, *n);
                 }
@@ -206,7 +206,7 @@
                 let needed = self.jobs.get(j).and_then(|r| r.value.open());
                 let needed = needed.map_or_else(Vec::new, |s| s.needs.clone());
                 self.count_job(j, false);
-                let res = set(&mut self.jobs, j.clone(), value, mark);
+                let res = set(&mut self.jobs, j.clone(), value, version);
                 self.count_job(j, true);
                 if res.is_ok() {
                     self.update_dependents(j);
@@ -219,11 +219,11 @@
                 }
                 res
             }
-            Key::Quota(t) => set(&mut self.quotas, t.clone(), value, mark),
-            Key::Flavor(f) => set(&mut self.flavors, f.clone(), value, mark),
+            Key::Quota(t) => set(&mut self.quotas, t.clone(), value, version),
+            Key::Flavor(f) => set(&mut self.flavors, f.clone(), value, version),
             Key::Progress(j, r, c) => {
                 let chunks = self.progress.entry(j.clone()).or_default();
-                let res = set(chunks, (r.clone(), *c), value, mark);
+                let res = set(chunks, (r.clone(), *c), value, version);
                 if chunks.is_empty() {
                     self.progress.remove(j);
                 }
@@ -359,7 +359,7 @@
         std::mem::take(&mut self.touched).into_iter().collect()
     }
 
-    fn enter_machine(&mut self, name: &str, rec: Option<MachineRecord>, mark: u64) {
+    fn enter_machine(&mut self, name: &str, rec: Option<MachineRecord>, version: u64) {
         if let Some(old) = self.machines.remove(name) {
             let m = old.value;
             if let Some(kinds) = self.stock.get_mut(&m.region) {
@@ -377,12 +377,12 @@
             let kinds = self.stock.entry(value.region.clone()).or_default();
             *kinds.entry(kind).or_default() += 1;
             self.machines
-                .insert(name.to_owned(), Versioned { value, mark });
+                .insert(name.to_owned(), Versioned { value, version });
         }
         self.touched.insert(name.to_owned());
     }
 
-    fn enter_batch(&mut self, id: &str, rec: Option<MachineBatchRecord>, mark: u64) {
+    fn enter_batch(&mut self, id: &str, rec: Option<MachineBatchRecord>, version: u64) {
         let old = self.batches.remove(id).map(|l| l.value);
         for (i, name) in old.iter().flat_map(|l| l.machines.iter().enumerate()) {
             let stays = rec
@@ -393,7 +393,7 @@
                 .get(name)
                 .is_some_and(|m| m.value.lot.as_ref().is_some_and(|(l, _)| &**l == id));
             if !stays && ours {
-                self.enter_machine(name, None, mark);
+                self.enter_machine(name, None, version);
             }
         }
         let Some(rec) = rec else { return };
@@ -417,11 +417,16 @@
                 lot: Some((lot.clone(), i)),
             };
             if self.machines.get(name).is_none_or(|m| m.value != value) {
-                self.enter_machine(name, Some(value), mark);
+                self.enter_machine(name, Some(value), version);
             }
         }
-        self.batches
-            .insert(id.to_owned(), Versioned { value: rec, mark });
+        self.batches.insert(
+            id.to_owned(),
+            Versioned {
+                value: rec,
+                version,
+            },
+        );
     }
 
     /// Which places of a lot were opened.
--- a/src/registry/tests.rs
+++ b/src/registry/tests.rs
@@ -24,7 +24,7 @@
     let rate_after = |leads: bool| {
         let mut registry = Registry::new(&settings);
         if leads {
-            registry.leader.state = GrantState::Held {
+            registry.leader.state = LeaseState::Held {
                 id: 1,
                 renewed: 0,
                 next: 0,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -239,7 +239,7 @@
         if cancel <= lease + units::SECOND {
             return Err(bad(
                 "facts.workers.cancel_s",
-                "must exceed lease_s by more than a second: no safe grant fits between",
+                "must exceed lease_s by more than a second: no safe lease fits between",
             ));
         }
         let next = s.next.as_ref().unwrap_or(&NO_CHANGE);
@@ -315,10 +315,10 @@
         v
     }
 
-    /// The life of an owner's grant. A cancellation that an owner never hears of
+    /// The life of an owner's lease. A cancellation that an owner never hears of
     /// must still be carried out in time by its workers' leases running out:
     /// life + `lease_s` + margin stays below `cancel_s`.
-    pub fn grant_life(&self) -> Micros {
+    pub fn owner_lease_life(&self) -> Micros {
         ((self.cancel - self.lease) * 6 / 10).min(20 * units::SECOND)
     }
 
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -27,7 +27,7 @@
 fn platform_file() {
     let s = Settings::parse("f", &sample()).unwrap();
     assert_eq!(s.regions(), ["t-0", "t-1", "t-2"]);
-    assert!(s.grant_life() + s.lease + 2 * units::SECOND < s.cancel);
+    assert!(s.owner_lease_life() + s.lease + 2 * units::SECOND < s.cancel);
     let limit = |team: &str| s.team(team).unwrap().limit;
     assert_eq!(limit("guest"), None);
     assert_eq!(limit("red").map(|l| (l.cpus, l.gpus)), Some((8_000_000, 0)));
--- a/src/sim.rs
+++ b/src/sim.rs
@@ -197,8 +197,8 @@
     data: BTreeMap<String, (Value, u64, Option<u64>)>,
     log: Vec<(u64, String, Option<Value>)>,
     revision: u64,
-    grants: BTreeMap<u64, (Micros, Micros)>,
-    next_grant: u64,
+    leases: BTreeMap<u64, (Micros, Micros)>,
+    next_lease: u64,
     watches: BTreeMap<u64, (usize, u64, CallId, u64)>,
     next_watch: u64,
     down: Micros,
@@ -428,7 +428,7 @@
             controllers: Vec::new(),
             store: Store {
                 revision: 1,
-                next_grant: 1,
+                next_lease: 1,
                 ..Default::default()
             },
             workers: BTreeMap::new(),
--- a/src/sim/compound_failures.rs
+++ b/src/sim/compound_failures.rs
@@ -362,8 +362,8 @@
             let late = w.seen.starts_after_cancel;
             let large = w.seen.too_large > 0;
             if !w.broken.is_empty() || !open.is_empty() || late > 0 || large {
-                for (k, (value, mark, _)) in &w.store.data {
-                    log::info!("left on record: {k} {mark} {value}");
+                for (k, (value, version, _)) in &w.store.data {
+                    log::info!("left on record: {k} {version} {value}");
                 }
                 failed.push(format!(
                     "{}, seed {seed}: {:?}, left open {open:?}, {late} starts after a cancel, too large {large}",
--- a/src/sim/faults.rs
+++ b/src/sim/faults.rs
@@ -93,7 +93,7 @@
             Fault::StoreDown(d) => {
                 self.store.down = now + d;
                 // After an outage every lease has its full time again.
-                for (life, until) in self.store.grants.values_mut() {
+                for (life, until) in self.store.leases.values_mut() {
                     *until = now + d + *life;
                 }
             }
--- a/src/sim/lost_records.rs
+++ b/src/sim/lost_records.rs
@@ -48,7 +48,7 @@
             leased
                 .iter()
                 .for_each(|key| drop(self.store.data.remove(key)));
-            self.store.grants.clear();
+            self.store.leases.clear();
         }
         for (i, life, id, _) in std::mem::take(&mut self.store.watches).into_values() {
             self.back(i, life, id, Err(CallError::NoAnswer));
--- a/src/sim/state_service.rs
+++ b/src/sim/state_service.rs
@@ -12,7 +12,7 @@
             let r = self.cloud(&path, &body);
             return self.back(i, life, id, Ok(r));
         }
-        self.expire_grants();
+        self.expire_leases();
         if self.now < self.store.down || self.now < self.controllers[i].refused {
             return self.back(i, life, id, Ok(Response::new(503, Vec::new())));
         }
@@ -48,15 +48,15 @@
             }
             "/commit" => self.commit(&body),
             "/grants" => {
-                let g = self.store.next_grant;
-                self.store.next_grant += 1;
+                let g = self.store.next_lease;
+                self.store.next_lease += 1;
                 let life = body["lifeMs"].as_u64().unwrap() * MILLI;
-                self.store.grants.insert(g, (life, self.now + life));
+                self.store.leases.insert(g, (life, self.now + life));
                 reply(200, json!({ "tenure": g }))
             }
             p => {
                 let g: u64 = p.split('/').nth(2).unwrap().parse().unwrap();
-                match self.store.grants.get_mut(&g) {
+                match self.store.leases.get_mut(&g) {
                     Some((life, until)) => {
                         *until = self.now + *life;
                         reply(200, json!({}))
@@ -101,20 +101,20 @@
         }
     }
 
-    pub(super) fn expire_grants(&mut self) {
+    pub(super) fn expire_leases(&mut self) {
         if self.now < self.store.down {
             return;
         }
         let now = self.now;
         let dead: Vec<u64> = self
             .store
-            .grants
+            .leases
             .iter()
             .filter(|(_, (_, until))| *until <= now)
             .map(|(g, _)| *g)
             .collect();
         for g in dead {
-            self.store.grants.remove(&g);
+            self.store.leases.remove(&g);
             let keys: Vec<String> = self
                 .store
                 .data
@@ -150,7 +150,7 @@
         }
         for a in apply {
             if let Some(l) = a["tenure"].as_u64() {
-                if !self.store.grants.contains_key(&l) {
+                if !self.store.leases.contains_key(&l) {
                     return reply(400, json!({"error": "no such lease"}));
                 }
             }
