--- a/crates/archive/src/database/tests.rs
+++ b/crates/archive/src/database/tests.rs
@@ -1,7 +1,9 @@
 //! Tests of the archive's file: damage is named, never passed on.
 
+use redb::ReadableTable;
+
 use super::*;
-use crate::form::GapCause;
+use crate::form::{Change, ChangeBatch, Gap, GapCause, StoredRecord};
 use crate::reconstruct::{at, Moment};
 use crate::recorder::tests::Scratch;
 use crate::verify::verify;
