Read-over: one way to take a region, one test of a pending claim; no change of behaviour

Need: the transaction that takes a region stood in the ordinary way and again in a hold, and whether a claim must be waited for in four places. With detection on every barrier copied all known changes, compared or not. Change: Node::taking and Claim::is_pending serve all of them; the known changes are copied only for a comparison; an unused accessor is gone and a type private.

--- a/crates/recovery/src/detection.rs
+++ b/crates/recovery/src/detection.rs
@@ -40,8 +40,8 @@
 }
 
 /// Evidence that waits for a read.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Suspicion {
+#[derive(Debug)]
+struct Suspicion {
     /// When the report came.
     came: Micros,
     finding: Finding,
@@ -68,11 +68,6 @@
         now >= self.proven_at
     }
 
-    /// When they will have had.
-    pub fn proven_at(&self) -> Micros {
-        self.proven_at
-    }
-
     /// Looks at a report; whether it speaks against the records as they are known. If so it
     /// must not be acted on, and a read is wanted.
     pub fn look_at(&mut self, reported: Reported<'_>, now: Micros) -> bool {
@@ -84,8 +79,8 @@
         true
     }
 
-    /// A read sent at `sent` is complete. `still_unknown` tells whether a token or job is
-    /// without a record now.
+    /// A read sent at `sent` is complete. `recorded_token` is the last one on record by it,
+    /// `has_job` tells whether a job has a record.
     pub fn on_read(
         &mut self,
         sent: Micros,
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -10,6 +10,6 @@
 pub mod finding;
 pub mod recent;
 
-pub use detection::{Detection, Reported, Suspicion};
+pub use detection::{Detection, Reported};
 pub use finding::Finding;
 pub use recent::RecentChanges;
--- a/src/node.rs
+++ b/src/node.rs
@@ -89,6 +89,16 @@
     Looking(u64),
 }
 
+impl Claim {
+    /// Whether it must be waited for, now that the replica has reached `revision`.
+    fn is_pending(self, revision: u64) -> bool {
+        match self {
+            Claim::Committing => true,
+            Claim::Looking(awaited) => revision < awaited,
+        }
+    }
+}
+
 /// Another controller as the mesh shows it.
 #[derive(Debug, Default)]
 struct Peer {
--- a/src/node/held.rs
+++ b/src/node/held.rs
@@ -213,12 +213,9 @@
         let replica = &self.registry.replica;
         let Some(held) = &mut self.held else { return };
         let standing = replica.hold.as_ref();
-        let is_under_way = match held.record_claim {
-            Some(Claim::Committing) => true,
-            Some(Claim::Looking(revision)) => replica.revision < revision,
-            None => false,
-        };
-        if is_under_way || standing.is_some_and(|r| r.value.accepted.is_none()) {
+        let claim = held.record_claim;
+        let is_pending = claim.is_some_and(|c| c.is_pending(replica.revision));
+        if is_pending || standing.is_some_and(|r| r.value.accepted.is_none()) {
             return;
         }
         let record = HoldRecord {
@@ -262,12 +259,9 @@
         let record = replica.regions.get(&name).map(|r| &r.value);
         let is_taken = record.is_some_and(|r| r.owner != self.settings.name);
         let Some(held) = &mut self.held else { return };
-        let is_under_way = match held.claims.get(&name) {
-            Some(Claim::Committing) => true,
-            Some(Claim::Looking(revision)) => replica.revision < *revision,
-            None => false,
-        };
-        let waits = is_under_way || now < held.next_attempt;
+        let claim = held.claims.get(&name);
+        let is_pending = claim.is_some_and(|c| c.is_pending(replica.revision));
+        let waits = is_pending || now < held.next_attempt;
         if held.regions.contains_key(&name) || waits || is_taken {
             return;
         }
@@ -284,26 +278,10 @@
         } else {
             recorded.max(held.highest_token) + 1
         };
-        let key = Key::Region(name.clone());
-        let owner = RegionRecord {
-            owner: self.settings.name.clone(),
-            run: self.run,
-            token,
-            held: Some(held.incident),
-        };
-        let txn = Txn {
-            when: vec![
-                (key.clone(), replica.version(&key)),
-                (Key::Token, replica.version(&Key::Token)),
-            ],
-            apply: vec![
-                (Key::Token, Some(value(&token))),
-                (key.clone(), Some(value(&owner))),
-            ],
-            lease: Some((key, lease)),
-        };
         log::info!("node: held: region {name}: taking, token {token}");
         held.claims.insert(name.clone(), Claim::Committing);
+        let incident = held.incident;
+        let txn = self.taking(&name, token, Some(incident), lease);
         let ticket = self.registry.commit(txn, Urgency::First, None);
         let region = name;
         self.tickets
--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -29,11 +29,11 @@
         {
             self.step_down("another is on record");
         }
-        match self.lead_claim {
-            Some(Claim::Committing) => return,
-            Some(Claim::Looking(rev)) if self.registry.replica.revision < rev => return,
-            _ => self.lead_claim = None,
+        let revision = self.registry.replica.revision;
+        if self.lead_claim.is_some_and(|c| c.is_pending(revision)) {
+            return;
         }
+        self.lead_claim = None;
         if ours {
             if self.leader.is_none() && self.now < self.registry.leader_until() {
                 log::info!("node: leader: since revision {version}");
--- a/src/node/regions.rs
+++ b/src/node/regions.rs
@@ -27,10 +27,10 @@
             if rec.is_some() {
                 self.absent.remove(&name);
             }
-            match self.claims.get(&name) {
-                Some(Claim::Committing) => continue,
-                Some(Claim::Looking(rev)) if self.registry.replica.revision < *rev => continue,
-                _ => {}
+            let revision = self.registry.replica.revision;
+            let claim = self.claims.get(&name);
+            if claim.is_some_and(|c| c.is_pending(revision)) {
+                continue;
             }
             if !self.authority() {
                 continue;
@@ -76,26 +76,7 @@
                 continue;
             };
             let token = self.registry.replica.token.as_ref().map_or(0, |t| t.value) + 1;
-            let key = Key::Region(name.clone());
-            let txn = Txn {
-                when: vec![
-                    (key.clone(), version),
-                    (Key::Token, self.registry.replica.version(&Key::Token)),
-                ],
-                apply: vec![
-                    (Key::Token, Some(value(&token))),
-                    (
-                        key.clone(),
-                        Some(value(&RegionRecord {
-                            owner: self.settings.name.clone(),
-                            run: self.run,
-                            token,
-                            held: None,
-                        })),
-                    ),
-                ],
-                lease: Some((key, lease)),
-            };
+            let txn = self.taking(&name, token, None, lease);
             log::info!("node: region {name}: taking, token {token}");
             if !home && rec.is_none() && self.is_well(&name) {
                 self.releases.keep(&name, self.now);
@@ -109,6 +90,30 @@
         self.return_region();
     }
 
+    /// The transaction that takes a region as its records stand, under a token drawn with it;
+    /// `held` names the incident if it is taken in a hold.
+    pub(super) fn taking(&self, name: &str, token: u64, held: Option<u64>, lease: u64) -> Txn {
+        let replica = &self.registry.replica;
+        let key = Key::Region(name.to_owned());
+        let owner = RegionRecord {
+            owner: self.settings.name.clone(),
+            run: self.run,
+            token,
+            held,
+        };
+        Txn {
+            when: vec![
+                (key.clone(), replica.version(&key)),
+                (Key::Token, replica.version(&Key::Token)),
+            ],
+            apply: vec![
+                (Key::Token, Some(value(&token))),
+                (key.clone(), Some(value(&owner))),
+            ],
+            lease: Some((key, lease)),
+        }
+    }
+
     /// Whether a peer was just heard and reaches the state service.
     fn is_well(&self, peer: &str) -> bool {
         self.peers
--- a/src/registry/history.rs
+++ b/src/registry/history.rs
@@ -11,7 +11,7 @@
     /// history is to be recognised.
     pub(super) fn barrier_watch(&mut self) -> Watch {
         let compares = std::mem::take(&mut self.compare_next) || self.now >= self.compare_at;
-        let compared = self.recent.clone().filter(|_| compares);
+        let compared = self.recent.as_ref().filter(|_| compares).cloned();
         let from = match &compared {
             Some(recent) => recent.compare_from(),
             None => self.replica.revision,
