--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -41,7 +41,7 @@
 /// Case 1: all controllers end while the state service keeps the records of many jobs that are over.
 fn reload(trouble: bool, record: Arc<Record>, folder: PathBuf, program: PathBuf) -> Outcome {
     /// Jobs that are over. Their final states must be kept.
-    const JOBS_OVER: u32 = 36_000;
+    const JOBS_OVER: u32 = 44_000;
     /// Time without an answer about a job after which the job counts as forgotten.
     const FORGOTTEN_S: f64 = 75.0;
     /// Time after which a process that has ended is started again.
--- a/review/standin/src/msgpack.rs
+++ b/review/standin/src/msgpack.rs
@@ -215,7 +215,7 @@
         0xd1 => signed(number(bytes, at, 2)?, 2),
         0xd2 => signed(number(bytes, at, 4)?, 4),
         0xd3 => signed(number(bytes, at, 8)?, 8),
-        0xd9 | 0xda | 0xdb => {
+        0xd9..=0xdb => {
             let length = number(bytes, at, 1 << (tag - 0xd9))? as usize;
             text(bytes, at, length)?
         }
--- a/review/standin/src/state.rs
+++ b/review/standin/src/state.rs
@@ -1,6 +1,7 @@
 //! The state service.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::ops::Bound;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -13,9 +14,10 @@
 const PAGE_BYTES: usize = 512 * 1024;
 const TXN_BYTES: usize = 64 * 1024;
 
-#[derive(Clone)]
 struct Record {
     value: V,
+    /// Size of the value as JSON.
+    bytes: usize,
     mark: u64,
     lease: Option<u64>,
 }
@@ -25,6 +27,9 @@
     ends: Instant,
 }
 
+/// The new value of a record, with its lease; `None` deletes the record.
+type New = Option<(V, Option<u64>)>;
+
 struct Change {
     mark: u64,
     key: String,
@@ -115,13 +120,15 @@
 }
 
 impl Store {
-    fn change(&mut self, changes: Vec<(String, Option<(V, Option<u64>)>)>) {
+    /// Puts (a value and its lease) and deletes records at one revision.
+    fn change(&mut self, changes: Vec<(String, New)>) {
         self.almanac += 1;
         let mark = self.almanac;
         for (key, new) in changes {
             let value = match new {
                 Some((value, lease)) => {
                     let record = Record {
+                        bytes: value.json().len(),
                         value: value.clone(),
                         mark,
                         lease,
@@ -216,11 +223,17 @@
         let mut pairs = Vec::new();
         let mut more = false;
         let mut bytes = 0;
-        for (key, record) in &self.records {
-            if !key.starts_with(under) || key.as_str() <= from {
+        // Only the part of the keys that the page may hold is visited.
+        let first = if from > under { from } else { under };
+        let range = (Bound::Included(first.to_owned()), Bound::Unbounded);
+        for (key, record) in self.records.range(range) {
+            if key == from {
                 continue;
             }
-            bytes += key.len() + record.value.json().len() + 40;
+            if !key.starts_with(under) {
+                break;
+            }
+            bytes += key.len() + record.bytes + 40;
             if pairs.len() == limit || bytes > PAGE_BYTES {
                 more = true;
                 break;
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -14,6 +14,7 @@
 const TICK: Duration = Duration::from_millis(20);
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(4);
 const NEXT_NODE: Duration = Duration::from_secs(1);
+const MIN_INTERVAL: Duration = Duration::from_millis(500);
 
 #[derive(Clone)]
 pub struct MachineType {
@@ -966,11 +967,9 @@
         if m.health == Health::Hangs {
             continue;
         }
-        let may_send = last_sent.is_none_or(|at| now > at + Duration::from_millis(500));
-        if now < next && !(m.changed && may_send && last_sent.is_some_and(|at| now > at)) {
-            continue;
-        }
-        if now < next && next > now + Duration::from_secs_f64(interval * 2.0) {
+        // A change is reported early, but not within half a second of the last report.
+        let may_send_early = last_sent.is_some_and(|at| now > at + MIN_INTERVAL);
+        if now < next && !(m.changed && may_send_early) {
             continue;
         }
         let (mute, deaf) = (m.mute, m.deaf);
