Review: ports, leftover processes and the other work of case 3

Of ten runs at the same time one took another's port, and in one the other work of case 3 didn't use the machine that has to stay.

Change: free ports are searched below those of outgoing connections; run-case.sh ends only processes whose settings are in its temporary folder; a job of case 3 asks for the thali.

--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -13,7 +13,8 @@
 finish() {
   if [ -f "$temp/pids" ]; then
     while read -r pid; do
-      if [ "$(readlink "/proc/$pid/exe")" = "$program" ]; then
+      # Its settings are in the temporary folder of this run.
+      if grep -qaF "$temp/" "/proc/$pid/cmdline" 2>/dev/null; then
         kill -CONT "$pid"
         kill -KILL "$pid"
       fi
--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -317,7 +317,9 @@
     let job = sites::reminder(1, CREW, run_s);
     // Other teams' work, which goes on throughout.
     let payments = sites::reminder(2, "payments", vec![115.0; 4]);
-    let search = sites::reminder(3, "search", vec![115.0; 4]);
+    let mut search = sites::reminder(3, "search", vec![115.0; 4]);
+    // It keeps the thali in use, and leaves most of it free.
+    search.plots = Some(vec!["thali".into()]);
     for job in [&job, &payments, &search] {
         if !c.submit(job, 0) {
             return Outcome::NotRun(format!("{} is not accepted", job.id));
--- a/review/standin/src/cluster.rs
+++ b/review/standin/src/cluster.rs
@@ -7,7 +7,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{self, Client};
 use crate::msgpack::V;
@@ -57,15 +57,24 @@
     keep_logs: bool,
 }
 
-/// Takes ports that are free now. All are held until the last one is found, so that they differ.
+/// First port and number of ports that are tried. They are below those that systems usually give to
+/// outgoing connections, which could take a port between the search and the controller's start.
+const PORTS: (u32, u32) = (20_000, 12_000);
+
+/// Finds ports that are free now, beginning at a place that differs from run to run.
 fn free_ports(count: usize) -> Vec<u16> {
-    let held: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let nanos = now.map_or(0, |d| d.subsec_nanos());
+    let first = std::process::id().wrapping_mul(7919).wrapping_add(nanos);
+    let candidates = (0..PORTS.1).map(|n| PORTS.0 + first.wrapping_add(n * 101) % PORTS.1);
+    // All are held until the last one is found, so that they differ.
+    let held: Vec<TcpListener> = candidates
+        .filter_map(|port| TcpListener::bind(("127.0.0.1", port as u16)).ok())
+        .take(count)
         .collect();
-    let ports = held
-        .iter()
-        .map(|l| l.local_addr().expect("an address").port());
-    ports.collect()
+    held.iter()
+        .map(|l| l.local_addr().expect("an address").port())
+        .collect()
 }
 
 impl Cluster {
