Full reads of the records are logged and shown on the status page

The log had one debug line for each refused page and nothing on how far a read came, so that four explanations could not be told apart: (a) the pages exceed the rate limit and a refused page discards those before it, (b) leases or commits use up the limit, (c) pages time out, (d) the read completes and the following watch fails.

Change: a full read logs its start with the reason, its progress every 5 s, refused and failed requests (the first after a success, then every 5 s), and its end with records, pages, time and refusals. `salttiller status` of a controller that isn't ready says why, with the same figures, as a last line among the alerts, so that the page's form stays as it is. No other behaviour changes.

--- a/src/controller/status_page.rs
+++ b/src/controller/status_page.rs
@@ -29,9 +29,23 @@
         };
         self.monitoring
             .fill_status_page(&mut page, self.net.wall_clock_now());
+        page.alerts.extend(self.unready_reason());
         page
     }
 
+    /// Returns why this controller is not ready, if it is not.
+    fn unready_reason(&self) -> Option<String> {
+        if self.cluster.is_ready() {
+            return None;
+        }
+        let state_store = &self.cluster.state_store;
+        let reason = match state_store.full_read_progress(self.cluster.now) {
+            Some(progress) => format!("not ready: reading all records: {progress}"),
+            None => "not ready: the last reads of the state service failed".to_owned(),
+        };
+        Some(reason)
+    }
+
     /// Returns the number of pending tasks by class, and the numbers of jobs that wait for their
     /// dependencies by label.
     fn pending_work(&self) -> BTreeMap<String, u32> {
--- a/src/state_store.rs
+++ b/src/state_store.rs
@@ -53,7 +53,7 @@
 use commits::CommitQueue;
 use history::History;
 use lease::Lease;
-use loader::{CompleteRead, Loader};
+use loader::{CompleteRead, Loader, ReadReason};
 use long_poll::LongPoll;
 use replica::Replica;
 
@@ -150,6 +150,11 @@
         self.loader.is_done()
     }
 
+    /// Describes the progress of the full read, if one is in progress.
+    pub fn full_read_progress(&self, now: Micros) -> Option<String> {
+        self.loader.describe_progress(now)
+    }
+
     /// Send time of the last completed read, if there was one.
     pub fn last_read_at(&self) -> Option<Micros> {
         self.freshness.read_at()
@@ -245,9 +250,7 @@
         now: Micros,
         events: &mut Vec<StateStoreEvent>,
     ) {
-        let page = read_answer::<Page>(result)
-            .inspect_err(|error| error.log("page"))
-            .ok();
+        let page = read_answer::<Page>(result).inspect_err(|error| error.log("page"));
         if let Some(read) = self.loader.on_page(page, now) {
             self.on_read_complete(read, events);
         }
@@ -324,7 +327,7 @@
         self.calls.abandon_all_but_commits();
         self.long_poll.reset(self.pumped_at);
         self.barrier.reset(self.pumped_at);
-        self.loader.restart(0);
+        self.loader.restart(ReadReason::RecordsLost, 0);
         self.freshness.discard_reads();
         self.history.discard();
         self.owner_lease.request_new();
--- a/src/state_store/answer.rs
+++ b/src/state_store/answer.rs
@@ -6,6 +6,9 @@
 
 use crate::reactor::CallError;
 
+/// Status of a request above the rate limit, which was not executed.
+const STATUS_TOO_MANY_REQUESTS: u16 = 429;
+
 /// Error of a call that returned no usable response.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum AnswerError {
@@ -21,6 +24,11 @@
 }
 
 impl AnswerError {
+    /// Whether the request was refused because of the rate limit.
+    pub(super) fn is_rate_limited(&self) -> bool {
+        matches!(self, AnswerError::Status(STATUS_TOO_MANY_REQUESTS))
+    }
+
     /// Logs the error. An undecodable response is a fault; the other errors are expected
     /// while the state service is unavailable.
     pub(super) fn log(&self, request: &str) {
--- a/src/state_store/changes.rs
+++ b/src/state_store/changes.rs
@@ -6,6 +6,7 @@
 use salttiller_recovery::{Finding, RecentChanges};
 
 use super::answer::{read_answer, AnswerError};
+use super::loader::ReadReason;
 use super::{StateStore, StateStoreEvent};
 use crate::reactor::CallError;
 
@@ -105,12 +106,12 @@
             // bounded.
             ChangesError::TooMany => {
                 log::info!("watch: {error}; reloading all records");
-                self.loader.restart(now);
+                self.loader.restart(ReadReason::TooManyChanges, now);
             }
             ChangesError::RevisionTooOld => {
                 log::info!("watch: {error}; reloading all records");
                 if self.is_loaded() {
-                    self.loader.restart(now);
+                    self.loader.restart(ReadReason::ChangesCompacted, now);
                 }
             }
             ChangesError::RecordsLost(finding) => {
--- a/src/state_store/loader.rs
+++ b/src/state_store/loader.rs
@@ -1,12 +1,17 @@
 //! The paged full read of all records, at startup and whenever the changes since the known
 //! revision are not available.
 
+mod progress;
+
 use salttiller_protocol::state_service::Page;
 use salttiller_records::key::PREFIX;
 use salttiller_records::units::{Micros, MILLISECOND, SECOND};
 
+use super::answer::AnswerError;
 use super::calls::{Calls, Operation, WakeTime};
 use super::replica::Replica;
+use progress::Progress;
+pub(super) use progress::ReadReason;
 
 /// Number of records per page.
 const PAGE_SIZE: u32 = 500;
@@ -50,6 +55,9 @@
 /// State of the full read.
 pub(super) struct Loader {
     state: LoadState,
+    reason: ReadReason,
+    /// Progress of the read that is needed or in progress, over all its attempts.
+    progress: Option<Progress>,
 }
 
 impl Loader {
@@ -57,6 +65,8 @@
     pub(super) fn new() -> Self {
         Loader {
             state: LoadState::Needed { not_before: 0 },
+            reason: ReadReason::Startup,
+            progress: None,
         }
     }
 
@@ -65,6 +75,8 @@
     pub(super) fn done() -> Self {
         Loader {
             state: LoadState::Done,
+            reason: ReadReason::Startup,
+            progress: None,
         }
     }
 
@@ -73,8 +85,15 @@
     }
 
     /// Restarts the full read, at `not_before` at the earliest.
-    pub(super) fn restart(&mut self, not_before: Micros) {
+    pub(super) fn restart(&mut self, reason: ReadReason, not_before: Micros) {
         self.state = LoadState::Needed { not_before };
+        self.reason = reason;
+    }
+
+    /// Describes the progress of the read, unless it is complete.
+    pub(super) fn describe_progress(&self, now: Micros) -> Option<String> {
+        let progress = self.progress.as_ref()?;
+        Some(progress.describe(now))
     }
 
     /// Requests the next page if none is outstanding.
@@ -93,24 +112,39 @@
             self.state = LoadState::Reading(Box::new(PagedRead::new(known_revision)));
         }
         if let LoadState::Reading(read) = &mut self.state {
+            let reason = self.reason;
+            self.progress
+                .get_or_insert_with(|| Progress::start(reason, now));
             read.request_page(now, calls);
         }
     }
 
-    /// Adds a page to the read; `None` means that the request failed. Returns the read when
-    /// it is complete.
+    /// Adds a page to the read. Returns the read when it is complete.
     #[must_use]
-    pub(super) fn on_page(&mut self, page: Option<Page>, now: Micros) -> Option<CompleteRead> {
-        let LoadState::Reading(read) = &mut self.state else {
+    pub(super) fn on_page(
+        &mut self,
+        page: Result<Page, AnswerError>,
+        now: Micros,
+    ) -> Option<CompleteRead> {
+        let (LoadState::Reading(read), Some(progress)) = (&mut self.state, &mut self.progress)
+        else {
             return None;
         };
-        let Some(page) = page else {
-            self.restart(now + RETRY_DELAY + fastrand::u64(0..MAX_RETRY_JITTER));
-            return None;
+        let page = match page {
+            Ok(page) => page,
+            Err(error) => {
+                progress.request_failed(&error, now);
+                let retry_at = now + RETRY_DELAY + fastrand::u64(0..MAX_RETRY_JITTER);
+                self.restart(self.reason, retry_at);
+                return None;
+            }
         };
+        progress.page_added(page.pairs.len(), now);
         if read.add(page) {
             return None;
         }
+        progress.log_complete(now);
+        self.progress = None;
         let LoadState::Reading(read) = std::mem::replace(&mut self.state, LoadState::Done) else {
             return None;
         };
