A hold tells restarted owners which cancellations were lost with the records

Seen: with `recovery.detect` on, a task of a job whose user had been told "cancelled" went on for more than `cancel_s` (41.4 s), which breaks `ran_cancelled`.

Cause: a cancellation is announced to peers once, when it is committed. If the state service then loses its record and the owner of a machine with a task restarts before the task has stopped, the owner knows of the cancellation neither from the records nor from memory. It renews the machine's lease for as long as the hold lasts, although its peers know. docs/recovery.md says that a cancellation that a running controller knows is carried out.

Change: during a hold each controller repeats the lost cancellations that it knows to its peers, every 5 s and at most 10,000. They are kept apart from those of normal operation and serve only to stop tasks within the hold. The message is the existing one.

--- a/src/controller/data_loss_hold.rs
+++ b/src/controller/data_loss_hold.rs
@@ -9,9 +9,10 @@
 //! a restart, until an operator's decision is added to the record. See docs/recovery.md.
 //!
 //! This module begins and ends the hold and maintains its record. `kept_regions` acquires regions
-//! during a hold, `requests` answers workers and users, and `evidence` detects lost records from
-//! heartbeats.
+//! during a hold, `requests` answers workers and users, `evidence` detects lost records from
+//! heartbeats, and `cancellations` tells peers about cancellations whose records were lost.
 
+mod cancellations;
 mod evidence;
 mod kept_regions;
 mod requests;
@@ -32,6 +33,7 @@
 use crate::reactor::Net;
 use crate::state_store::replica::Replica;
 use crate::state_store::{CommitOutcome, CommitPriority, Transaction};
+use cancellations::LostCancellations;
 use kept_regions::KeptRegions;
 
 /// Margin added to a former owner's authority for clock differences and responses in transit.
@@ -47,6 +49,7 @@
     /// Regions that this controller owned when the hold began.
     owned_before: BTreeSet<String>,
     kept: KeptRegions,
+    lost_cancellations: LostCancellations,
     /// Id of the incident that this hold belongs to, drawn by this controller or read from the
     /// hold's record.
     incident: u64,
@@ -100,6 +103,7 @@
             // the more complete one and is kept.
             log::warn!("records lost again within the hold: {finding}");
             hold.kept.clear();
+            hold.lost_cancellations.search_again();
             return;
         }
         log::warn!("data-loss hold begins, the state service lost records: {finding}");
@@ -116,6 +120,7 @@
             replica_before_loss,
             owned_before,
             kept: KeptRegions::new(token),
+            lost_cancellations: LostCancellations::default(),
             incident: random_id(),
             record_acquisition: None,
         }));
@@ -193,6 +198,7 @@
             return next;
         }
         self.commit_hold_record();
+        self.announce_lost_cancellations();
         self.drop_lost_kept_regions();
         if self.has_undecided_hold_record() {
             for region in self.cluster.settings.regions() {
--- a/src/controller/data_loss_hold/requests.rs
+++ b/src/controller/data_loss_hold/requests.rs
@@ -89,6 +89,7 @@
         let recorded = self.cluster.state_store.replica.stage(job);
         [before_loss, recorded].contains(&Some(JobStage::Cancelled))
             || self.cluster.cancellations.contains(job)
+            || hold.is_some_and(|hold| hold.lost_cancellations.is_reported(job))
     }
 
     /// Answers a user's request about a job with the job's final stage on record, or refuses the
--- a/src/controller/peer_messages.rs
+++ b/src/controller/peer_messages.rs
@@ -133,6 +133,9 @@
         if is_disabled(Safeguard::StartDeadline) || is_disabled(Safeguard::AuthorityDeadline) {
             return;
         }
+        if self.record_cancellations_in_hold(jobs) {
+            return;
+        }
         for job in jobs {
             let record = self.cluster.state_store.replica.jobs.get(job);
             let is_recorded = record.is_some_and(|r| r.value.stage != JobStage::Open);
--- a/src/controller/reported_cancellations.rs
+++ b/src/controller/reported_cancellations.rs
@@ -7,7 +7,7 @@
 use crate::state_store::replica::Replica;
 
 /// Maximum number of reported cancellations that the replica doesn't show yet.
-const MAX_REPORTED_CANCELLATIONS: usize = 10_000;
+pub(super) const MAX_REPORTED_CANCELLATIONS: usize = 10_000;
 
 /// Jobs that peers reported as cancelled and that the replica may still show as open. The reports
 /// carry no authority: they only prevent tasks of these jobs from starting.
--- a/src/simulation/tests/lost_records.rs
+++ b/src/simulation/tests/lost_records.rs
@@ -232,6 +232,20 @@
     );
 }
 
+/// Guards against tasks that outlast their cancellation: the record of the cancellation is lost, and
+/// the owner of the task's machine restarts before it has stopped the task. Its peers know of the
+/// cancellation and tell it during the hold.
+#[test]
+fn cancellation_that_peers_remember_is_carried_out_in_a_hold() {
+    let days = record_losses::days().filter(|day| day.name.ends_with("one restarts"));
+    for day in days {
+        for seed in [4, 27] {
+            let result = run_loss_day(day, seed).map(|_| ());
+            assert_eq!(result, Ok(()), "{}, seed {seed}", day.name);
+        }
+    }
+}
+
 /// Guards against a safeguard for lost records that has no effect or that no test covers. Each
 /// safeguard is disabled on the day that needs it, and that day must fail on at least one seed.
 #[test]
