A failed page of the cloud's list is read again, and the pages before it are kept

A failed page ended the read of the machine list, and the next one began with the first page. With 4,000 machines and every second call refused one read in 256 is complete, at one read in 30 s: machines without a record are neither used nor returned, and at the first start no task runs. Found by reading.

Change: a failed page is requested again from the last machine while the first page is at most 30 s old. The inventory carries the time at which its first page was requested, and a machine without a record is confirmed only if that time is twice the list's delay after the machine was first listed. Before, the time of the last page counted: a page read earlier could show a machine that had been released meanwhile. 30 s and twice the delay are below the 120 s for which released machines are remembered.

Evidence: both new tests fail without the change (no call after the failure; machine confirmed by a page of 115 s where 116 s are needed) and pass with it.

--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -17,7 +17,7 @@
 
 pub use capacity_backoff::CapacityBackoff;
 pub use client::{CloudClient, CloudError, CloudEvent};
-pub use inventory::ListedMachine;
+pub use inventory::{Inventory, ListedMachine};
 pub use offer::{offers, Offer};
 pub use request::{CloudCall, PendingRental};
 
--- a/src/cloud/client.rs
+++ b/src/cloud/client.rs
@@ -5,7 +5,7 @@
 
 use thiserror::Error;
 
-use super::inventory::{InventoryRead, ListedMachine, PageOutcome};
+use super::inventory::{Inventory, InventoryRead, PageOutcome};
 use super::offer::Offer;
 use super::pacing::Pacing;
 use super::queue::RequestQueue;
@@ -43,7 +43,7 @@
     /// The cloud confirmed the release of these machines.
     Released(Vec<String>),
     /// The complete inventory.
-    Inventory(Vec<ListedMachine>),
+    Inventory(Inventory),
     /// The cloud's API failed or didn't respond.
     Unavailable,
 }
@@ -167,9 +167,12 @@
         if now < self.pacing.next_call_at() {
             return (None, self.pacing.next_call_at());
         }
-        let Some(request) = self.queue.pop() else {
+        let Some(mut request) = self.queue.pop() else {
             return (None, now + IDLE_POLL_INTERVAL);
         };
+        if let Request::Inventory(read) = &mut request {
+            read.sent(now);
+        }
         let call_id = self.next_call_id;
         self.next_call_id += 1;
         self.pacing.on_call(now);
@@ -193,7 +196,7 @@
             Err(error) => {
                 log::info!("call to the cloud failed, backing off: {error}");
                 self.pacing.on_failure(now);
-                if request.is_retried() {
+                if request.is_retried(now) {
                     self.queue.push_front(request);
                 }
                 vec![CloudEvent::Unavailable]
@@ -244,13 +247,16 @@
                 }
                 CloudEvent::Released(names.clone())
             }
-            Request::Inventory(read) => match read.add_page(wire::decode_inventory(body)?) {
-                PageOutcome::Incomplete(read) => {
-                    self.queue.push_front(Request::Inventory(read));
-                    return Ok(Vec::new());
+            Request::Inventory(read) => {
+                let page = wire::decode_inventory(body)?;
+                match read.clone().add_page(page) {
+                    PageOutcome::Incomplete(read) => {
+                        self.queue.push_front(Request::Inventory(read));
+                        return Ok(Vec::new());
+                    }
+                    PageOutcome::Complete(inventory) => CloudEvent::Inventory(inventory),
                 }
-                PageOutcome::Complete(machines) => CloudEvent::Inventory(machines),
-            },
+            }
         };
         Ok(vec![event])
     }
--- a/src/cloud/request.rs
+++ b/src/cloud/request.rs
@@ -60,9 +60,16 @@
     }
 
     /// Whether the request is retried unchanged after a failure until the response is definite.
-    /// Reads are not retried; the caller requests them again if it needs the result.
-    pub(super) fn is_retried(&self) -> bool {
-        matches!(self, Request::Rent { .. } | Request::Release(_))
+    /// Other requests are dropped; the caller requests them again if it needs the result.
+    ///
+    /// Guards against an inventory of many pages that is never read completely while the cloud
+    /// refuses a part of the calls: a failed page is read again, and the pages before it are kept.
+    pub(super) fn is_retried(&self, now: Micros) -> bool {
+        match self {
+            Request::Rent { .. } | Request::Release(_) => true,
+            Request::Inventory(read) => read.is_worth_continuing(now),
+            Request::MachineTypes => false,
+        }
     }
 
     /// Returns the call by which the request is sent.
--- a/src/cloud/tests.rs
+++ b/src/cloud/tests.rs
@@ -186,7 +186,10 @@
                 (LIST, 200, "list, first page"),
                 (NEXT, 200, "list, last page"),
             ],
-            CloudEvent::Inventory(inventory),
+            CloudEvent::Inventory(Inventory {
+                machines: inventory,
+                read_since: 10 * SECOND,
+            }),
         ),
         (
             &CloudClient::request_inventory,
@@ -211,3 +214,63 @@
         assert_eq!(events, [expected]);
     }
 }
+
+/// Guards against an inventory of many pages that is never complete while the cloud refuses a part
+/// of the calls: a failed page is read again from the last machine. A read that takes too long
+/// begins again, and a failed first page is left to the caller's next request.
+#[test]
+fn a_failed_inventory_page_is_read_again_from_the_last_machine() {
+    let page = |name: &str, more: bool| {
+        let machine = json!({"nameId": name, "address": "127.0.0.1:1", "plot": "c4", "field": "a",
+            "fallow": false, "stage": "running", "heldS": 90.0});
+        response(200, json!({"tillers": [machine], "more": more}))
+    };
+    let first = "/machines?page=500";
+    let second = "/machines?from=m-1&page=500";
+    for failure in [
+        Err(CallError::NoResponse),
+        Err(CallError::NotSent),
+        response(429, json!({})),
+        response(503, json!({"error": "trouble"})),
+    ] {
+        let mut client = cloud_client();
+        client.request_inventory();
+        let mut now = SECOND;
+        let mut events = Vec::new();
+        for (target, result) in [
+            (first, page("m-1", true)),
+            (second, failure.clone()),
+            (second, failure.clone()),
+            (second, page("m-2", false)),
+        ] {
+            let call = client.next_call(now).0.unwrap();
+            assert_eq!(call.target, target, "{failure:?}");
+            events = client.on_response(call.call_id, result, now);
+            now += 6 * SECOND;
+        }
+        let [CloudEvent::Inventory(inventory)] = &events[..] else {
+            panic!("{failure:?}: expected the inventory, got {events:?}");
+        };
+        let names: Vec<&str> = inventory.machines.iter().map(|m| m.name.as_str()).collect();
+        assert_eq!(
+            (names.as_slice(), inventory.read_since),
+            (&["m-1", "m-2"][..], SECOND)
+        );
+    }
+    for pages_before_failure in [0, 1] {
+        let mut client = cloud_client();
+        client.request_inventory();
+        let mut now = SECOND;
+        for _ in 0..pages_before_failure {
+            let call = client.next_call(now).0.unwrap();
+            client.on_response(call.call_id, page("m-1", true), now);
+            now += 60 * SECOND;
+        }
+        let call = client.next_call(now).0.unwrap();
+        client.on_response(call.call_id, Err(CallError::NoResponse), now);
+        now += 60 * SECOND;
+        assert!(client.next_call(now).0.is_none());
+        client.request_inventory();
+        assert_eq!(client.next_call(now).0.unwrap().target, first);
+    }
+}
--- a/src/leader/cloud_events.rs
+++ b/src/leader/cloud_events.rs
@@ -1,7 +1,7 @@
 //! Handling of the results of calls to the cloud: the leader records machine types, assigns rented
 //! and unknown machines to regions, and notes refused offers for the capacity backoff.
 
-use crate::cloud::{CloudEvent, ListedMachine, Offer};
+use crate::cloud::{CloudEvent, Inventory, Offer};
 use crate::region::SchedulingContext;
 use crate::state_store::replica::Versioned;
 use crate::state_store::CommitPriority;
@@ -40,7 +40,7 @@
                 log::info!("no capacity for {}", describe(offer));
                 self.refusals.record_refusal(offer, context.now);
             }
-            CloudEvent::Inventory(list) => self.on_list(list, context),
+            CloudEvent::Inventory(inventory) => self.on_list(inventory, context),
             CloudEvent::Unavailable | CloudEvent::Released(_) => {}
         }
     }
@@ -95,13 +95,15 @@
 
     /// Assigns the listed machines without a record to regions, which use them like other machines
     /// or return them when they are idle.
-    fn on_list(&mut self, list: &[ListedMachine], context: &SchedulingContext<'_>) {
+    fn on_list(&mut self, inventory: &Inventory, context: &SchedulingContext<'_>) {
         // A record that can't be read may belong to a listed machine.
         if !context.replica.unreadable_machine_records.is_empty() {
             return;
         }
         let provisioning = self.provisioning_batches.machine_names();
-        let confirmed = self.unknown_machines.on_list(list, &provisioning, context);
+        let confirmed = self
+            .unknown_machines
+            .on_list(inventory, &provisioning, context);
         for (offer, machines) in confirmed {
             for chunk in machines.chunks(UNKNOWN_MACHINES_PER_ASSIGNMENT) {
                 let region = self.region_for(&offer, context);
--- a/src/leader/unknown_machines.rs
+++ b/src/leader/unknown_machines.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::cloud::{ListedMachine, Offer};
+use crate::cloud::{Inventory, ListedMachine, Offer};
 use crate::region::SchedulingContext;
 use salttiller_records::units::{Micros, SECOND};
 
@@ -41,7 +41,7 @@
     /// existence is confirmed. `provisioning` are the machines whose record is being committed.
     pub(super) fn on_list(
         &mut self,
-        list: &[ListedMachine],
+        inventory: &Inventory,
         provisioning: &BTreeSet<&str>,
         context: &SchedulingContext<'_>,
     ) -> BTreeMap<Offer, Vec<String>> {
@@ -54,7 +54,7 @@
             context.replica.machines.is_empty() && context.replica.activations.is_empty();
         let mut first_listed_at = BTreeMap::new();
         let mut confirmed: BTreeMap<Offer, Vec<String>> = BTreeMap::new();
-        for machine in list {
+        for machine in &inventory.machines {
             if !self.is_unknown(machine, provisioning, context) {
                 continue;
             }
@@ -62,8 +62,10 @@
             let listed_at = previously_listed_at.copied().unwrap_or(context.now);
             first_listed_at.insert(machine.name.clone(), listed_at);
             let confirmed_after = LIST_DELAYS_UNTIL_CONFIRMED * list_lag;
+            // The pages of a list are read at different times. The oldest one must show the
+            // machine after it had been unknown for long enough.
             let is_confirmed =
-                context.now > listed_at + confirmed_after && machine.age > confirmed_after;
+                inventory.read_since > listed_at + confirmed_after && machine.age > confirmed_after;
             if is_confirmed || is_first_start {
                 let machines = confirmed.entry(machine.offer.clone()).or_default();
                 machines.push(machine.name.clone());
@@ -85,3 +87,6 @@
             && !self.removed_at.contains_key(&machine.name)
     }
 }
+
+#[cfg(test)]
+mod tests;
