--- a/src/state_store/loader.rs
+++ b/src/state_store/loader.rs
@@ -43,13 +43,16 @@
     sent_at: Micros,
 }
 
+/// A full read with its progress.
+struct Reading {
+    read: PagedRead,
+    progress: Progress,
+    is_outstanding: bool,
+}
+
 enum LoadState {
     Needed(ReadReason),
-    Reading {
-        read: Box<PagedRead>,
-        progress: Progress,
-        is_outstanding: bool,
-    },
+    Reading(Box<Reading>),
     Done,
 }
 
@@ -89,14 +92,14 @@
 
     /// Whether a call belongs to the read in progress.
     pub(super) fn is_current(&self, call: ReadCall) -> bool {
-        matches!(self.state, LoadState::Reading { .. }) && call.read == self.read_number
+        matches!(self.state, LoadState::Reading(_)) && call.read == self.read_number
     }
 
     /// Describes the progress of the read, unless it is complete.
     pub(super) fn describe_progress(&self, now: Micros) -> Option<String> {
         match &self.state {
             LoadState::Needed(reason) => Some(format!("not begun yet: {reason}")),
-            LoadState::Reading { progress, .. } => Some(progress.describe(now)),
+            LoadState::Reading(reading) => Some(reading.progress.describe(now)),
             LoadState::Done => None,
         }
     }
@@ -111,21 +114,16 @@
     ) {
         if let LoadState::Needed(reason) = self.state {
             self.read_number += 1;
-            self.state = LoadState::Reading {
-                read: Box::new(PagedRead::new(known_revision)),
+            self.state = LoadState::Reading(Box::new(Reading {
+                read: PagedRead::new(known_revision),
                 progress: Progress::start(reason, now),
                 is_outstanding: false,
-            };
+            }));
         }
-        let LoadState::Reading {
-            read,
-            is_outstanding,
-            ..
-        } = &mut self.state
-        else {
+        let LoadState::Reading(reading) = &mut self.state else {
             return;
         };
-        if *is_outstanding {
+        if reading.is_outstanding {
             return;
         }
         let next_at = self.pace.next_at();
@@ -133,12 +131,12 @@
             wake.no_later_than(next_at.max(now + calls.time_until_allowed()));
             return;
         }
-        *is_outstanding = true;
+        reading.is_outstanding = true;
         let call = ReadCall {
             read: self.read_number,
             sent_at: now,
         };
-        let request = read.next_request(now);
+        let request = reading.read.next_request(now);
         send(request, call, self.pace.page_size(), calls);
         self.pace.sent(now);
     }
@@ -151,34 +149,21 @@
         page: Result<Page, AnswerError>,
         now: Micros,
     ) -> Option<CompleteRead> {
-        if !self.is_current(call) {
-            return None;
-        }
-        let LoadState::Reading {
-            read,
-            progress,
-            is_outstanding,
-        } = &mut self.state
-        else {
-            return None;
-        };
-        *is_outstanding = false;
-        match page {
-            Ok(page) => {
-                self.pace.succeeded();
-                progress.page_added(page.pairs.len(), now);
-                if read.add_page(page, call.sent_at) {
-                    return None;
-                }
-                progress.log_complete(now);
-                self.complete()
-            }
+        let (reading, pace) = self.answered(call)?;
+        let page = match page {
+            Ok(page) => page,
             Err(error) => {
-                self.pace.failed(&error, now);
-                progress.request_failed(&error, now);
-                None
+                reading.request_failed(&error, pace, now);
+                return None;
             }
+        };
+        pace.succeeded();
+        reading.progress.page_added(page.pairs.len(), now);
+        if reading.read.add_page(page, call.sent_at) {
+            return None;
         }
+        reading.progress.log_complete(now);
+        self.complete()
     }
 
     /// Handles the response to a request for the changes since the pages were read.
@@ -188,27 +173,15 @@
         changes: Result<Changes, ChangesError>,
         now: Micros,
     ) {
-        if !self.is_current(call) {
-            return;
-        }
-        let LoadState::Reading {
-            read,
-            progress,
-            is_outstanding,
-        } = &mut self.state
-        else {
+        let Some((reading, pace)) = self.answered(call) else {
             return;
         };
-        *is_outstanding = false;
         match changes {
             Ok(changes) => {
-                self.pace.succeeded();
-                read.add_changes(changes, call.sent_at);
-            }
-            Err(ChangesError::Answer(error)) => {
-                self.pace.failed(&error, now);
-                progress.request_failed(&error, now);
+                pace.succeeded();
+                reading.read.add_changes(changes, call.sent_at);
             }
+            Err(ChangesError::Answer(error)) => reading.request_failed(&error, pace, now),
             // The pages can't be brought up to date any more.
             Err(ChangesError::TooMany) => self.restart(ReadReason::TooManyChanges),
             Err(ChangesError::RevisionTooOld) => self.restart(ReadReason::ChangesCompacted),
@@ -217,14 +190,35 @@
         }
     }
 
+    /// Returns the read that a call belongs to, which now has no request outstanding, and its
+    /// pace. `None` if the call belongs to an earlier read.
+    fn answered(&mut self, call: ReadCall) -> Option<(&mut Reading, &mut PagePace)> {
+        if !self.is_current(call) {
+            return None;
+        }
+        let LoadState::Reading(reading) = &mut self.state else {
+            return None;
+        };
+        reading.is_outstanding = false;
+        Some((reading, &mut self.pace))
+    }
+
     fn complete(&mut self) -> Option<CompleteRead> {
         match std::mem::replace(&mut self.state, LoadState::Done) {
-            LoadState::Reading { read, .. } => Some(read.complete()),
+            LoadState::Reading(reading) => Some(reading.read.complete()),
             LoadState::Needed(_) | LoadState::Done => None,
         }
     }
 }
 
+impl Reading {
+    /// Delays the next request, which is the same one, after a failure.
+    fn request_failed(&mut self, error: &AnswerError, pace: &mut PagePace, now: Micros) {
+        pace.failed(error, now);
+        self.progress.request_failed(error, now);
+    }
+}
+
 fn send(request: ReadRequest, call: ReadCall, page_size: u32, calls: &mut Calls) {
     match request {
         ReadRequest::Page { after } => {
