The pages of a full read give way to commits

Cause: a controller that reads all records again may still own regions and have commits queued. Pages and commits asked the same rate limit on equal terms, and the pages were asked first.

Change: a page needs a quarter of the request capacity to be left after it.

--- a/src/state_store/calls.rs
+++ b/src/state_store/calls.rs
@@ -14,6 +14,9 @@
 use super::loader::ReadCall;
 use super::rate_limiter::TokenBucket;
 
+/// Fraction of the request capacity that background requests leave to all others.
+const RESERVED_CAPACITY: f64 = 0.25;
+
 /// A call to the state service.
 #[derive(Debug)]
 pub struct StoreCall {
@@ -99,6 +102,21 @@
         self.requests.time_until_allowed(1.0)
     }
 
+    /// Whether the rate limit allows another background request now. Background requests leave
+    /// a part of the capacity to the others, which are therefore not delayed by them.
+    pub(super) fn allows_background_request(&self) -> bool {
+        self.requests.allows(self.background_level())
+    }
+
+    /// Time until the rate limit allows another background request.
+    pub(super) fn time_until_background_allowed(&self) -> Micros {
+        self.requests.time_until_allowed(self.background_level())
+    }
+
+    fn background_level(&self) -> f64 {
+        1.0 + self.requests.capacity() * RESERVED_CAPACITY
+    }
+
     /// Sends a read at once and counts it against the rate limit.
     pub(super) fn get(&mut self, operation: Operation, target: String, timeout: Micros) {
         self.send(operation, "GET", target, Vec::new(), timeout);
--- a/src/state_store/loader.rs
+++ b/src/state_store/loader.rs
@@ -127,8 +127,8 @@
             return;
         }
         let next_at = self.pace.next_at();
-        if now < next_at || !calls.allows_request() {
-            wake.no_later_than(next_at.max(now + calls.time_until_allowed()));
+        if now < next_at || !calls.allows_background_request() {
+            wake.no_later_than(next_at.max(now + calls.time_until_background_allowed()));
             return;
         }
         reading.is_outstanding = true;
--- a/src/state_store/loader/tests.rs
+++ b/src/state_store/loader/tests.rs
@@ -4,13 +4,14 @@
 
 use salttiller_protocol::http::{query_value, Response};
 use salttiller_protocol::state_service::encode;
+use salttiller_records::key::Key;
 use salttiller_records::units::{Micros, MILLISECOND, SECOND};
 use serde_json::{json, Value};
 
 use super::*;
 use crate::reactor::CallError;
 use crate::settings::Settings;
-use crate::state_store::{StateStore, StateStoreEvent, StoreCall};
+use crate::state_store::{CommitPriority, StateStore, StateStoreEvent, StoreCall, Transaction};
 
 /// Time within which each read of these tests must be complete.
 const READ_LIMIT: Micros = 300 * SECOND;
@@ -242,6 +243,51 @@
     }
 }
 
+/// Guards against commits that wait for the pages of a read: while both are due, as many commits are
+/// sent as without a read.
+#[test]
+fn a_read_gives_way_to_commits() {
+    let commits_sent = |is_reading: bool| {
+        let fake = FakeStore::new(2_000);
+        let mut store = state_store();
+        if !is_reading {
+            store.loader.finish();
+        }
+        for _ in 0..400 {
+            let change = (Key::Token, Some(json!(1)));
+            let transaction = Transaction {
+                changes: vec![change],
+                ..Transaction::default()
+            };
+            store.commit(transaction, CommitPriority::Urgent, None);
+        }
+        let mut now = 0;
+        let mut commits = 0;
+        while now < 5 * SECOND {
+            let (calls, wake) = store.pump(now, &mut Vec::new());
+            // Each response leads to another pump.
+            let next = if calls.is_empty() { wake } else { now };
+            for call in calls {
+                let is_commit = call.target == "/commit";
+                commits += u32::from(is_commit);
+                let revision = json!({"almanac": fake.revision + 1});
+                let answer = match is_commit {
+                    true => Ok(Response::new(200, encode(&revision))),
+                    false => fake.answer(&call),
+                };
+                store.on_response(call.op, answer, now, &mut Vec::new());
+            }
+            now = next.max(now + MILLISECOND);
+        }
+        commits
+    };
+    let (with_read, without_read) = (commits_sent(true), commits_sent(false));
+    assert!(
+        with_read + 1 >= without_read,
+        "{with_read} commits during a read, {without_read} without one"
+    );
+}
+
 /// Guards against a replica that lacks records or holds deleted ones: while it is read, records
 /// are put and deleted behind and ahead of the reader, requests fail, and responses are lost. After
 /// the first barrier the replica equals the store.
