--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -3,6 +3,7 @@
 mod cancelled;
 mod left_waiting;
 mod soak;
+mod told;
 
 use std::path::Path;
 use std::time::Duration;
@@ -41,13 +42,16 @@
         "behind-others" => left_waiting::behind_others(root, trouble, record),
         "idle-machine-withheld" => left_waiting::withheld(root, trouble, record),
         "started-after-cancellation" => cancelled::started(root, trouble, record),
+        "running-told-as-queued" => told::queued(root, trouble, record),
+        "spread-gang" => left_waiting::spread(root, record),
         "soak" => soak::run(root, trouble, record),
         _ => Err(Outcome::NotRun(format!("no case {case}"))),
     };
     result.unwrap_or_else(|outcome| outcome)
 }
 
-/// Starts the controllers, and the workers once all controllers are ready.
+/// Starts the controllers, and the workers once all controllers are ready. Tries again with other
+/// ports if another process took one of the reserved ports at the last moment.
 fn begin(
     root: &Path,
     name: &str,
@@ -55,17 +59,23 @@
     machines: Machines<'_>,
     record: Record,
 ) -> Result<Cluster, Outcome> {
-    let world = World::new(TIMING, record);
-    for (machine, plot, zone, spot) in machines {
-        world.add_machine(machine, *plot, zone, *spot);
-    }
     let failed = |error: std::io::Error| Outcome::NotRun(format!("{error}"));
-    let cluster = Cluster::start(root, name, world, layout).map_err(failed)?;
-    if !cluster.wait_ready(Duration::from_secs(15)) {
-        return Err(Outcome::NotRun("the controllers don't get ready".into()));
+    for _ in 0..3 {
+        let world = World::new(TIMING, record.clone());
+        let mut cluster = Cluster::start(root, name, world, layout).map_err(failed)?;
+        if cluster.wait_ready(Duration::from_secs(10)) {
+            for (machine, plot, zone, spot) in machines {
+                cluster.world.add_machine(machine, *plot, zone, *spot);
+            }
+            cluster.start_workers();
+            // A worker that has seen a token is in a region.
+            let in_regions = |w: &World| w.lock().machines.values().all(|m| m.brand > 0);
+            wait_for(&cluster, 20.0, "all machines are in regions", in_regions)?;
+            return Ok(cluster);
+        }
+        record.line("a controller did not get ready, new start");
     }
-    cluster.start_workers();
-    Ok(cluster)
+    Err(Outcome::NotRun("the controllers don't get ready".into()))
 }
 
 fn submit(cluster: &Cluster, job: &Value, run_time: RunTime) -> Result<(), Outcome> {
--- a/review/stand-ins-2/src/cases/cancelled.rs
+++ b/review/stand-ins-2/src/cases/cancelled.rs
@@ -8,6 +8,7 @@
 
 use crate::cases::{begin, done, present, submit, wait_for, THAPA};
 use crate::cluster::Cluster;
+use crate::proxy::Link;
 use crate::record::Record;
 use crate::user;
 use crate::world::{RunTime, THALI};
@@ -49,8 +50,8 @@
     let other = (owner + 1) % 3;
     record.say(format!("tiller-{owner} owns the machines of the job"));
     if trouble {
-        cluster.cut_state(owner, true);
-        cluster.cut_peers(owner, true);
+        cluster.link_state(owner, Link::Held);
+        cluster.link_peers(owner, Link::Held);
         record.say(format!(
             "tiller-{owner} is cut from the state service and the other controllers"
         ));
@@ -71,8 +72,8 @@
     while cut_at.elapsed() < CUT {
         std::thread::sleep(Duration::from_millis(50));
     }
-    cluster.cut_state(owner, false);
-    cluster.cut_peers(owner, false);
+    cluster.link_state(owner, Link::Open);
+    cluster.link_peers(owner, Link::Open);
     record.say("the cut is over");
     let bound = Duration::from_secs_f64(world.timing.cancel);
     while confirmed.elapsed() < bound + Duration::from_secs(1) {
--- a/review/stand-ins-2/src/cases/soak.rs
+++ b/review/stand-ins-2/src/cases/soak.rs
@@ -9,6 +9,7 @@
 
 use crate::cases::{begin, TIMING};
 use crate::cluster::Layout;
+use crate::proxy::Link;
 use crate::record::Record;
 use crate::user;
 use crate::world::{Machine, RunTime, State, MOMO, THALI};
@@ -197,9 +198,9 @@
                     resume.insert(node, now + long);
                 }
                 2 => {
-                    cluster.cut_state(node, true);
+                    cluster.link_state(node, Link::Held);
                     if random.chance(50) {
-                        cluster.cut_peers(node, true);
+                        cluster.link_peers(node, Link::Held);
                     }
                     heal.insert(node, now + long);
                     record.line(format!("tiller-{node} cut"));
@@ -232,8 +233,8 @@
         }
         for (node, _) in heal.clone().iter().filter(|(_, at)| now >= **at) {
             heal.remove(node);
-            cluster.cut_state(*node, false);
-            cluster.cut_peers(*node, false);
+            cluster.link_state(*node, Link::Open);
+            cluster.link_peers(*node, Link::Open);
             record.line(format!("tiller-{node} healed"));
         }
         if now >= next_ask && !jobs.is_empty() {
--- a/review/stand-ins-2/src/cluster.rs
+++ b/review/stand-ins-2/src/cluster.rs
@@ -14,7 +14,7 @@
 use serde_json::{json, Value};
 
 use crate::cloud::Cloud;
-use crate::proxy::Proxy;
+use crate::proxy::{Link, Proxy};
 use crate::worker::{self, Node};
 use crate::world::World;
 
@@ -48,8 +48,20 @@
     _cloud: Server,
 }
 
-fn free_address() -> std::io::Result<SocketAddr> {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+/// Free ports for a controller. The listeners keep them from all others until it is started.
+struct Ports {
+    front: TcpListener,
+    mesh: TcpListener,
+}
+
+impl Ports {
+    fn reserve() -> std::io::Result<Self> {
+        let listen = || TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+        Ok(Ports {
+            front: listen()?,
+            mesh: listen()?,
+        })
+    }
 }
 
 /// The program and its arguments in the deploy file.
@@ -80,9 +92,11 @@
         }))?;
         let folder = TempFolder::new(name)?;
         let mut controllers = Vec::new();
+        let ports = [Ports::reserve()?, Ports::reserve()?, Ports::reserve()?];
         let mut fronts = Vec::new();
-        for number in 0..3 {
-            fronts.push((format!("tiller-{number}"), free_address()?, free_address()?));
+        for (number, ports) in ports.iter().enumerate() {
+            let (front, mesh) = (ports.front.local_addr()?, ports.mesh.local_addr()?);
+            fronts.push((format!("tiller-{number}"), front, mesh));
         }
         for (number, (name, front, mesh)) in fronts.iter().enumerate() {
             let state_proxy = Proxy::start(state.address())?;
@@ -126,6 +140,7 @@
             folder,
             _cloud: cloud,
         };
+        drop(ports);
         for number in 0..3 {
             cluster.start_controller(number)?;
         }
@@ -203,9 +218,12 @@
     }
 
     /// Waits until every controller is ready.
-    pub fn wait_ready(&self, limit: Duration) -> bool {
+    pub fn wait_ready(&mut self, limit: Duration) -> bool {
         let until = Instant::now() + limit;
         self.fronts().into_iter().all(|front| loop {
+            if !self.all_run() {
+                return false;
+            }
             let answer = Client::new(front).call("GET", "/ready", &[], Duration::from_secs(1));
             if answer.is_ok_and(|a| a.status == 200) {
                 return true;
@@ -225,17 +243,17 @@
         }
     }
 
-    /// Cuts a controller from the state service, or ends the cut.
-    pub fn cut_state(&self, number: usize, cut: bool) {
-        self.controllers[number].state_proxy.set_cut(cut);
+    /// Sets the link of a controller to the state service.
+    pub fn link_state(&self, number: usize, link: Link) {
+        self.controllers[number].state_proxy.set(link);
     }
 
-    /// Cuts a controller from the others in both directions, or ends the cut.
-    pub fn cut_peers(&self, number: usize, cut: bool) {
+    /// Sets the links between a controller and the others, in both directions.
+    pub fn link_peers(&self, number: usize, link: Link) {
         for (at, controller) in self.controllers.iter().enumerate() {
             for (to, proxy) in &controller.peer_proxies {
                 if at == number || *to == number {
-                    proxy.set_cut(cut);
+                    proxy.set(link);
                 }
             }
         }
