--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -10,4 +10,4 @@
   echo "not built: run the build of deploy/service.toml and review/build-2.sh" >&2
   exit 2
 fi
-exec "$program" behind-others "$root" "$here/record.txt"
+exec "$program" behind-sixty "$root" "$here/record.txt"
--- a/review/stand-ins-2/src/cases/left_waiting.rs
+++ b/review/stand-ins-2/src/cases/left_waiting.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use serde_json::json;
+use serde_json::{json, Value};
 
 use crate::cases::{begin, done, holders, present, submit, wait_for, THAPA};
 use crate::cluster::{Cluster, Layout};
 use crate::record::Record;
 use crate::user;
-use crate::world::{RunTime, World, DALBHAT, MOMO, THALI};
+use crate::world::{Power, RunTime, World, DALBHAT, MOMO, THALI};
 use crate::Outcome;
 
 /// The bound of the rule, in seconds.
@@ -20,6 +20,8 @@
 /// Number of jobs of a burst, and of users that submit them at the same time.
 const BURST: usize = 235;
 const USERS: usize = 10;
+/// Number of small jobs.
+const SMALL_JOBS: usize = 90;
 
 fn has_room(world: &World, machine: &str, cores: f64, memory: f64) -> bool {
     let state = world.lock();
@@ -260,6 +262,20 @@
     Ok(watch(&mut cluster, "req-000003", first, 8.0, 20.0))
 }
 
+/// Several users submit jobs of 45 s at the same time.
+fn submit_together(cluster: &Cluster, ids: &[String], job: impl Fn(&str) -> Value + Sync) {
+    let job = &job;
+    std::thread::scope(|scope| {
+        for part in ids.chunks(ids.len().div_ceil(USERS)) {
+            scope.spawn(move || {
+                for id in part {
+                    let _ = submit(cluster, &job(id), Arc::new(|_| Duration::from_secs(45)));
+                }
+            });
+        }
+    });
+}
+
 /// A job waits behind more than 200 others of its region that no machine can take, while a machine
 /// of another region has room for it.
 pub fn behind_others(root: &Path, trouble: bool, record: Record) -> Result<Outcome, Outcome> {
@@ -307,18 +323,10 @@
     }
     // Jobs of a class come several times as often as usual; only the larger type is allowed them.
     let burst: Vec<String> = (0..BURST).map(|n| format!("req-{:06}", 1000 + n)).collect();
-    std::thread::scope(|scope| {
-        for part in burst.chunks(BURST.div_ceil(USERS)) {
-            let cluster = &cluster;
-            scope.spawn(move || {
-                for id in part {
-                    let mut job =
-                        user::job(id, "reminder-send", "messaging", "batch", 1, 0.25, 0.9);
-                    job["plots"] = json!(["thali"]);
-                    let _ = submit(cluster, &job, Arc::new(|_| Duration::from_secs(45)));
-                }
-            });
-        }
+    submit_together(&cluster, &burst, |id| {
+        let mut job = user::job(id, "reminder-send", "messaging", "batch", 1, 0.25, 0.9);
+        job["plots"] = json!(["thali"]);
+        job
     });
     wait_for(&cluster, 40.0, "the burst is bound", |_| {
         let records = cluster.state.contents().records;
@@ -354,3 +362,85 @@
     submit(&cluster, &gang, Arc::new(|_| Duration::from_secs(10)))?;
     Ok(watch(&mut cluster, "req-000001", "m-000001", 4.0, 8.0))
 }
+
+/// A job of another team waits behind 60 jobs that no machine can take, beside a machine of its own
+/// region that has room for it.
+pub fn behind_sixty(root: &Path, trouble: bool, record: Record) -> Result<Outcome, Outcome> {
+    let machines = &[
+        ("m-000001", MOMO, "kathmandu", false),
+        ("m-000002", MOMO, "kathmandu", true),
+        ("m-000003", DALBHAT, "kathmandu", false),
+        ("m-000004", THALI, "kathmandu", true),
+    ];
+    let mut cluster = begin(root, "behind-sixty", &THAPA, machines, record)?;
+    let world = cluster.world.clone();
+    // A service fills the larger ordinary machine.
+    let mut service = user::job(
+        "req-000001",
+        "table-watch",
+        "search",
+        "standing",
+        1,
+        32.0,
+        64.0,
+    );
+    service["growthS"] = json!(0.0);
+    submit(&cluster, &service, Arc::new(|_| Duration::from_secs(3600)))?;
+    wait_for(&cluster, 25.0, "the service runs", |w| {
+        present(w, "req-000001") == 1
+    })?;
+    // Another service keeps the ordinary momo in use.
+    let mut service = user::job(
+        "req-000003",
+        "seat-watch",
+        "search",
+        "standing",
+        1,
+        1.0,
+        2.0,
+    );
+    service["growthS"] = json!(0.0);
+    service["plots"] = json!(["momo"]);
+    submit(&cluster, &service, Arc::new(|_| Duration::from_secs(3600)))?;
+    wait_for(&cluster, 25.0, "both services run", |w| {
+        holders(w, "req-000003") == ["m-000001"]
+    })?;
+    // Small jobs that only the type thali may take, which has room for 64 of them.
+    let small: Vec<String> = (0..SMALL_JOBS)
+        .map(|n| format!("req-{:06}", 1000 + n))
+        .collect();
+    submit_together(&cluster, &small, |id| {
+        let mut job = user::job(id, "reminder-send", "messaging", "batch", 1, 0.5, 1.2);
+        job["plots"] = json!(["thali"]);
+        job["fallow"] = json!(true);
+        job
+    });
+    wait_for(&cluster, 40.0, "the small jobs run", |w| {
+        let state = w.lock();
+        let tasks = state.machines["m-000004"].tasks.values();
+        tasks.filter(|t| t.stage.is_on()).count() >= 50
+    })?;
+    if trouble {
+        world.kill_machine("m-000004");
+        // The job comes when the loss is known, a lease later at the latest.
+        let killed = Instant::now();
+        let known = |w: &World| w.lock().machines["m-000004"].power == Power::Gone;
+        while !known(&world) && killed.elapsed() < Duration::from_secs(18) {
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        std::thread::sleep(Duration::from_millis(500));
+    }
+    let mut job = user::job(
+        "req-000002",
+        "trail-tiles",
+        "insights",
+        "batch",
+        1,
+        2.0,
+        4.0,
+    );
+    job["plots"] = json!(["momo"]);
+    job["rank"] = json!("low");
+    submit(&cluster, &job, Arc::new(|_| Duration::from_secs(5)))?;
+    Ok(watch(&mut cluster, "req-000002", "m-000001", 2.0, 4.0))
+}
