--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -37,7 +37,6 @@
 
 pub fn run(case: &str, root: &Path, trouble: bool, record: Record) -> Outcome {
     let result = match case {
-        "array-left-waiting" => left_waiting::array(root, trouble, record),
         "one-zone-left-waiting" => left_waiting::one_zone(root, trouble, record),
         "behind-others" => left_waiting::behind_others(root, trouble, record),
         "idle-machine-withheld" => left_waiting::withheld(root, trouble, record),
--- a/review/stand-ins-2/src/cases/left_waiting.rs
+++ b/review/stand-ins-2/src/cases/left_waiting.rs
@@ -21,7 +21,7 @@
 const BURST: usize = 235;
 const USERS: usize = 10;
 /// Number of small jobs.
-const SMALL_JOBS: usize = 90;
+const SMALL_JOBS: usize = 75;
 
 fn has_room(world: &World, machine: &str, cores: f64, memory: f64) -> bool {
     let state = world.lock();
@@ -73,77 +73,6 @@
     Outcome::Held(format!("longest wait of {job} beside room {longest:.0} s"))
 }
 
-/// A large array whose done tasks are scattered loses the only machine of its region.
-pub fn array(root: &Path, trouble: bool, record: Record) -> Result<Outcome, Outcome> {
-    let machines = &[
-        ("m-000001", THALI, "kathmandu", false),
-        ("m-000002", THALI, "kathmandu", true),
-    ];
-    let mut cluster = begin(root, "array", &THAPA, machines, record)?;
-    let world = cluster.world.clone();
-    // A service takes a part of the ordinary machine, the array the cheap one.
-    let mut service = user::job(
-        "req-000001",
-        "table-watch",
-        "search",
-        "standing",
-        1,
-        4.0,
-        8.0,
-    );
-    service["growthS"] = json!(0.0);
-    submit(&cluster, &service, Arc::new(|_| Duration::from_secs(3600)))?;
-    wait_for(&cluster, 25.0, "the service runs", |w| {
-        present(w, "req-000001") == 1
-    })?;
-    let mut array = user::job(
-        "req-000002",
-        "reminder-send",
-        "messaging",
-        "batch",
-        100,
-        0.3,
-        1.2,
-    );
-    array["fallow"] = json!(true);
-    // Run times scatter, as in any array: half of the tasks take 3 to 6 s, the others 30 to 45 s.
-    let run_time: RunTime = Arc::new(|task| {
-        let mixed = (u64::from(task) + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 40;
-        let spread = (mixed >> 1) % 3000;
-        Duration::from_millis(if mixed & 1 == 0 {
-            3000 + spread
-        } else {
-            30000 + 5 * spread
-        })
-    });
-    submit(&cluster, &array, run_time)?;
-    wait_for(&cluster, 40.0, "the short tasks are done", |w| {
-        done(w, "req-000002") >= 40 && present(w, "req-000002") > 0 && {
-            let state = w.lock();
-            let (start, _, _) = state
-                .starts
-                .iter()
-                .rfind(|(_, id, _)| id.0 == "req-000002")
-                .cloned()
-                .unwrap_or((Instant::now(), (String::new(), 0), String::new()));
-            start.elapsed() > Duration::from_secs(7)
-        }
-    })?;
-    let holder = holders(&world, "req-000002");
-    let [machine] = holder.as_slice() else {
-        return Err(Outcome::NotRun(format!("the array is on {holder:?}")));
-    };
-    let other = if machine == "m-000001" {
-        "m-000002"
-    } else {
-        "m-000001"
-    };
-    if trouble {
-        world.kill_machine(machine);
-    }
-    Ok(watch(&mut cluster, "req-000002", other, 0.3, 1.2))
-}
-
 /// An array that must be in one zone, a part of it done, loses the only machine of its region.
 pub fn one_zone(root: &Path, trouble: bool, record: Record) -> Result<Outcome, Outcome> {
     let machines = &[
