--- a/review/stand-ins-2/src/worker.rs
+++ b/review/stand-ins-2/src/worker.rs
@@ -36,10 +36,9 @@
             std::thread::sleep(Duration::from_millis(50));
             continue;
         }
-        let Some((season, report)) = world.report(machine) else {
+        let Some((season, reported, report)) = world.report(machine) else {
             return;
         };
-        let reported = world.lock().machines[machine].changes;
         let sent = Instant::now();
         let answer = client.call("POST", "/v1/report", &encode(&report), ANSWER_TIMEOUT);
         // 4 s count from sending; the client's own limits may be a little longer.
