--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -43,7 +43,6 @@
         "started-after-cancellation" => cancelled::started(root, trouble, record),
         "running-told-as-queued" => told::queued(root, trouble, record),
         "behind-sixty" => left_waiting::behind_sixty(root, trouble, record),
-        "spread-gang" => left_waiting::spread(root, record),
         "soak" => soak::run(root, trouble, record),
         _ => Err(Outcome::NotRun(format!("no case {case}"))),
     };
