--- a/src/leader/rebinding.rs
+++ b/src/leader/rebinding.rs
@@ -7,6 +7,7 @@
 //! machine.
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use crate::peer_protocol::Message;
 use crate::region::SchedulingContext;
@@ -28,6 +29,9 @@
 /// and submissions, bindings and completions of jobs have precedence.
 const REBINDING_WRITE_SHARE: f64 = 0.2;
 
+/// Interval at which the log repeats why a job that keeps waiting is not rebound.
+const OBSTACLE_LOG_INTERVAL: Micros = 10 * SECOND;
+
 /// Recently rebound jobs, with the time until which each is not rebound again.
 #[derive(Debug, Default)]
 pub(super) struct RecentRebindings {
@@ -77,6 +81,40 @@
     tasks: u64,
 }
 
+/// Reason why a plan does not request rebinding of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RebindingObstacle {
+    /// Every pending task has capacity claimed for it.
+    NothingUnplaced,
+    /// The job has not been pending for [`MIN_WAIT_TO_REBIND`].
+    PendingForShortTime,
+    /// A request was sent recently, so reports don't reflect it yet.
+    RequestedRecently,
+    /// The job is indivisible, and some of its tasks would stay behind.
+    WouldBeDivided { unplaced: u64, tasks: u64 },
+    /// The job fails wherever it runs, and its own region has machines for it.
+    SuspectWithOwnMachines,
+    /// No other region with an owner has enough free capacity.
+    NoRegionWithCapacity,
+}
+
+impl fmt::Display for RebindingObstacle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NothingUnplaced => f.write_str("capacity is claimed for all pending tasks"),
+            Self::PendingForShortTime => f.write_str("pending for a short time only"),
+            Self::RequestedRecently => f.write_str("requested recently"),
+            Self::WouldBeDivided { unplaced, tasks } => {
+                write!(f, "would be divided, {unplaced} of {tasks} tasks unplaced")
+            }
+            Self::SuspectWithOwnMachines => {
+                f.write_str("suspect, and its region has machines for it")
+            }
+            Self::NoRegionWithCapacity => f.write_str("no other region has enough capacity"),
+        }
+    }
+}
+
 impl Leader {
     /// Requests rebinding of tasks that got no machine within a short time, to the region with the
     /// most free capacity. Afterwards `unplaced_tasks` of each job is the number of pending tasks
@@ -125,11 +163,18 @@
     /// whether a rebinding was requested.
     #[must_use]
     fn rebind_job(&mut self, job: &mut UnplacedJob, context: &SchedulingContext<'_>) -> bool {
-        if !self.may_be_rebound(job) {
-            return false;
-        }
-        let Some(target) = self.rebinding_target(job, context) else {
-            return false;
+        let target = match self.rebinding_obstacle(job) {
+            Some(obstacle) => Err(obstacle),
+            None => self
+                .rebinding_target(job, context)
+                .ok_or(RebindingObstacle::NoRegionWithCapacity),
+        };
+        let target = match target {
+            Ok(target) => target,
+            Err(obstacle) => {
+                log_obstacle(job, obstacle);
+                return false;
+            }
         };
         log::debug!(
             "region={} job={}: requesting rebinding of {} pending tasks to {}",
@@ -155,7 +200,8 @@
         true
     }
 
-    fn may_be_rebound(&self, job: &UnplacedJob) -> bool {
+    /// Returns why a job must not be rebound now, or `None` if it may be.
+    fn rebinding_obstacle(&self, job: &UnplacedJob) -> Option<RebindingObstacle> {
         // Guards against spreading a job that fails on every machine over all regions, each of
         // which would have to detect the failure again.
         let could_run_in_own_region = || {
@@ -164,11 +210,22 @@
                 .any(|c| c.region == job.region && c.max_tasks(&job.spec, job.flexibility()) > 0)
         };
         let would_be_divided = job.is_indivisible() && job.unplaced_tasks != job.task_count();
-        job.unplaced_tasks > 0
-            && !would_be_divided
-            && job.pending_for >= MIN_WAIT_TO_REBIND
-            && !self.recent_rebindings.contains(&job.id)
-            && !(job.is_suspect && could_run_in_own_region())
+        if job.unplaced_tasks == 0 {
+            Some(RebindingObstacle::NothingUnplaced)
+        } else if would_be_divided {
+            Some(RebindingObstacle::WouldBeDivided {
+                unplaced: job.unplaced_tasks,
+                tasks: job.task_count(),
+            })
+        } else if job.pending_for < MIN_WAIT_TO_REBIND {
+            Some(RebindingObstacle::PendingForShortTime)
+        } else if self.recent_rebindings.contains(&job.id) {
+            Some(RebindingObstacle::RequestedRecently)
+        } else if job.is_suspect && could_run_in_own_region() {
+            Some(RebindingObstacle::SuspectWithOwnMachines)
+        } else {
+            None
+        }
     }
 
     /// Selects the region with the most free processors among the other regions that have an owner
@@ -217,3 +274,18 @@
         });
     }
 }
+
+/// Logs why a job that keeps waiting is not rebound, once in [`OBSTACLE_LOG_INTERVAL`].
+fn log_obstacle(job: &UnplacedJob, obstacle: RebindingObstacle) {
+    let intervals = job.pending_for / OBSTACLE_LOG_INTERVAL;
+    let intervals_at_last_plan =
+        job.pending_for.saturating_sub(PLAN_INTERVAL) / OBSTACLE_LOG_INTERVAL;
+    if intervals > intervals_at_last_plan {
+        log::debug!(
+            "region={} job={}: pending for {:.0} s, not rebound: {obstacle}",
+            job.region,
+            job.id,
+            to_seconds(job.pending_for)
+        );
+    }
+}
