Move a job to a region whose only machines are cordoned as surplus

What callers saw: a job in a region that had lost its machines waited for good, although another region had a machine with room, which was draining as surplus while a service ran on it. No other machine could be rented.

Cause: regions don't report the capacity of cordoned machines, and an owner reverts the cordon of a surplus machine only for jobs in its own queue. The leader unbound the job and bound it to the same region again, every 12 s.

Change: a job whose region has no machine that could hold it moves to a region with machines on record that could, when there is no free capacity elsewhere and nothing to rent: an indivisible job in place of being unbound, any other after 25 s. The owner there reverts the cordon as for its own jobs.

--- a/src/leader.rs
+++ b/src/leader.rs
@@ -31,6 +31,7 @@
 mod horizon;
 mod indivisible_scale_out;
 mod machine_assignment;
+mod machines_on_record;
 mod multi_region_binding;
 mod multi_region_gangs;
 mod offer_selection;
--- a/src/leader/indivisible_scale_out.rs
+++ b/src/leader/indivisible_scale_out.rs
@@ -11,6 +11,7 @@
 use salttiller_records::record::MAX_BATCH;
 use salttiller_records::units::{Micros, SECOND};
 
+use super::machines_on_record::region_with_machines;
 use super::offer_selection::OfferChoice;
 use super::planned_capacity::{claim_from, tasks_in_region, PlannedCapacity};
 use super::scale_out::RentalRequests;
@@ -157,6 +158,7 @@
                 .regions()
                 .into_iter()
                 .find(|region| has_owner(region, context) && self.could_hold_all(job, region))
+                .or_else(|| region_with_machines(job, context))
                 .unwrap_or_default(),
         };
         log::info!(
--- a/src/leader/rebinding.rs
+++ b/src/leader/rebinding.rs
@@ -14,6 +14,7 @@
 use salttiller_records::key::Key;
 use salttiller_records::units::{to_seconds, Micros, MILLISECOND, SECOND};
 
+use super::machines_on_record::region_with_machines;
 use super::planned_capacity::{claim_from, tasks_in_zones, PlannedCapacity};
 use super::unplaced_job::UnplacedJob;
 use super::{Leader, PLAN_INTERVAL};
@@ -23,6 +24,9 @@
 /// An indivisible job with capacity in its region normally starts within this time. If the job
 /// still waits, that capacity is treated as unusable for it.
 const MAX_WAIT_WITH_CAPACITY: Micros = 25 * SECOND;
+/// Time after which a job in a region without machines for it is rebound to a region that has some,
+/// even if they accept no tasks now. Rented machines are on record earlier.
+const MAX_WAIT_WITHOUT_MACHINES: Micros = 25 * SECOND;
 /// Time for which a rebound job is not rebound again, so that reports first reflect the move.
 const REBINDING_PAUSE: Micros = 2 * SECOND;
 /// Share of the state service's write rate that rebinding may use. Each rebinding changes a record,
@@ -202,6 +206,7 @@
             Some(obstacle) => Err(obstacle),
             None => self
                 .rebinding_target(job, context)
+                .or_else(|| self.target_on_record(job, context))
                 .ok_or(RebindingObstacle::NoRegionWithCapacity),
         };
         let target = match target {
@@ -291,6 +296,24 @@
             })
     }
 
+    /// Selects a region whose machines on record could hold the job, if the job has waited for long
+    /// in a region without any. Guards against a job that waits beside surplus machines that are
+    /// cordoned: only a job in their own region's queue reverts the cordon.
+    fn target_on_record(
+        &self,
+        job: &UnplacedJob,
+        context: &SchedulingContext<'_>,
+    ) -> Option<RebindingTarget> {
+        if job.pending_for <= MAX_WAIT_WITHOUT_MACHINES || self.could_run_in_own_region(job) {
+            return None;
+        }
+        let region = region_with_machines(job, context)?;
+        Some(RebindingTarget {
+            region,
+            tasks: job.unplaced_tasks,
+        })
+    }
+
     /// Whether a machine of the job's region could hold a task of the job if it were empty.
     fn could_run_in_own_region(&self, job: &UnplacedJob) -> bool {
         let mut machines = self.capacity.iter();
--- a/src/simulation/days.rs
+++ b/src/simulation/days.rs
@@ -60,7 +60,10 @@
         let jobs = match self.workload {
             Workload::Overload => 60,
             Workload::Pipelines => 32,
-            Workload::Mixed | Workload::UnevenTasks | Workload::FailingJobs => 24,
+            Workload::Mixed
+            | Workload::UnevenTasks
+            | Workload::StaggeredTasks
+            | Workload::FailingJobs => 24,
         };
         Plan {
             faults: (self.faults)(&mut rng),
--- a/src/simulation/users/jobs.rs
+++ b/src/simulation/users/jobs.rs
@@ -40,6 +40,8 @@
     pub machine_types: Option<&'static [&'static str]>,
     /// Whether the tasks may run on spot machines.
     pub spot_allowed: bool,
+    /// Whether all tasks must run in the same zone.
+    pub single_zone: bool,
     /// Expected run time in seconds; 0 if the job runs until it is stopped.
     pub expected_seconds: u64,
     /// Dependencies, which must be done before the job starts; with `None` the submission lacks the
@@ -61,6 +63,7 @@
             image_gb: 1.0,
             machine_types: None,
             spot_allowed: false,
+            single_zone: false,
             expected_seconds: 0,
             dependencies: None,
         }
@@ -71,7 +74,7 @@
         let mut body = json!({"nameId": self.id, "crop": "x", "crew": self.team, "furrow": self.kind.wire_name(),
             "rank": self.priority, "sheaves": self.tasks, "cores": self.cpus, "cards": 0.0,
             "memoryGb": self.memory_gb, "seed": "img", "sizeGb": self.image_gb,
-            "plots": self.machine_types, "field": null, "samePlace": false, "spread": false,
+            "plots": self.machine_types, "field": null, "samePlace": self.single_zone, "spread": false,
             "fallow": self.spot_allowed, "growthS": self.expected_seconds, "stookS": 0.0, "bindS": 0.0,
             "harvestS": null});
         if let Some(dependencies) = &self.dependencies {
--- a/src/simulation/workers/commands.rs
+++ b/src/simulation/workers/commands.rs
@@ -17,6 +17,12 @@
 /// Factor by which the first task of a job runs longer in [`Workload::UnevenTasks`].
 const UNEVEN_FACTOR: u64 = 4;
 
+/// Returns the position, from 1 on, at which a task of [`Workload::StaggeredTasks`] ends: a
+/// permutation of each sixteen tasks.
+fn staggered_position(number: u32) -> u64 {
+    u64::from(number * 7 % 16) + 1
+}
+
 impl World {
     /// Executes a command of an accepted response.
     pub(crate) fn execute_command(&mut self, machine: &str, command: &Value) {
@@ -66,6 +72,9 @@
         let run_time = match job.kind {
             JobKind::Service => SERVICE_RUN_TIME,
             _ if uneven => UNEVEN_FACTOR * job.run_time,
+            JobKind::Batch if self.workload == Workload::StaggeredTasks => {
+                job.run_time * staggered_position(number)
+            }
             JobKind::Gang => GANG_WAIT,
             JobKind::Batch => job.run_time,
         };
--- a/src/simulation/workload.rs
+++ b/src/simulation/workload.rs
@@ -13,6 +13,8 @@
     Mixed,
     /// Jobs of two or three tasks, one of which runs several times as long as the others.
     UnevenTasks,
+    /// As [`Workload::Mixed`], but the tasks of a job end one after the other, in no order.
+    StaggeredTasks,
     /// Jobs of all priorities that exceed the capacity.
     Overload,
     /// Most jobs depend on one or two others, and some of these dependencies form chains.
