--- a/src/simulation/tests/partly_done.rs
+++ b/src/simulation/tests/partly_done.rs
@@ -16,6 +16,8 @@
 const FILLER: &str = "req-000003";
 /// The job that loses its machine.
 const ARRAY: &str = "req-000002";
+/// Headroom with which no machine is surplus.
+const KEEPS_ALL_MACHINES: f64 = 100.0;
 /// Time by which the array must run.
 const ARRAY_STARTED_BY: Micros = 80 * SECOND;
 /// Time after the loss of the machine by which the rest of the array must be done. It includes the
@@ -56,6 +58,16 @@
 /// Returns a world with two machines in regions of their own: one with the services, and one on which
 /// the array runs, because it doesn't fit beside the services. Its tasks end in no order.
 fn world_with_running_array(seed: u64, services: &[Submission], array: &Submission) -> World {
+    world_with_headroom(seed, services, array, None)
+}
+
+/// As [`world_with_running_array`], with another headroom of capacity if one is given.
+fn world_with_headroom(
+    seed: u64,
+    services: &[Submission],
+    array: &Submission,
+    headroom: Option<f64>,
+) -> World {
     let plan = Plan {
         jobs: 0,
         workload: Workload::StaggeredTasks,
@@ -64,6 +76,10 @@
     log_if_requested();
     fastrand::seed(seed);
     let mut world = World::new(&plan);
+    for settings in &mut world.settings {
+        let operator = &mut settings.operator;
+        operator.headroom = headroom.unwrap_or(operator.headroom);
+    }
     world.cloud.set_capacity(2);
     for (index, service) in services.iter().enumerate() {
         world.submit_job(SECOND + index as Micros * 20 * SECOND, service, 0);
@@ -137,6 +153,18 @@
     }
 }
 
+/// The same while the machine of the other region is not surplus, so that its capacity is reported.
+#[test]
+fn rest_of_an_array_in_one_zone_moves_to_free_capacity() {
+    for results in [1, 2, 4, 7] {
+        let services = [service(SERVICE, 0.5)];
+        let headroom = Some(KEEPS_ALL_MACHINES);
+        let mut world = world_with_headroom(1, &services, &array_in_one_zone(), headroom);
+        lose_machine(&mut world, results);
+        assert_array_finishes(&mut world, &format!("{results} results"));
+    }
+}
+
 /// Guards against an array whose rest never runs again because its done tasks are scattered: its
 /// region has lost its only machine, and the gaps between the other tasks made too many ranges.
 #[test]
