Reap an ended task only when no copy of its start can arrive

What callers could see: a task on two machines at once, a team beyond its limit, or a start after a confirmed cancellation, when an answer that had started a task reached the machine once more after the task had ended within 4 s.

Cause: an attempt that ended without a result was reaped in the answer to the heartbeat that reported its end. After the reap the worker no longer knows the attempt, and a copy of the start begins it again.

Change: an owner remembers each start for 4.1 s, the time for which a worker takes an answer. Until then an ended attempt is not reaped, and one without a result stays on its machine. A result counts at once.

Why this works: a copy has no effect while the worker lists the attempt, and no copy of an answer is taken later than 4 s after the heartbeat. Copies of a former owner's starts carry a lower token than the answer that reaps.

Tests: the simulated network copies answers to workers that have carried them out.

Checks changed: a machine that rebooted forgets the starts that it carried out, and its heartbeats are ignored. For 4 s a copy of a start that was sent before the cancellation counts as a command in flight there, as for delayed answers. The test cluster of the region lists ended tasks until they are reaped, as a worker does; before, it forgot them after one heartbeat.

--- a/src/fault_injection.rs
+++ b/src/fault_injection.rs
@@ -58,6 +58,8 @@
     EmptyMachinesLeft,
     /// A task with a result leaves its region only if the result is on record.
     RecordedResults,
+    /// The end of a task is acted upon only when no copy of its start can be executed any more.
+    StartCopies,
     /// A gang that waits for its team's quota share blocks other jobs only for a limited time.
     ShareHoldLimit,
 }
--- a/src/region.rs
+++ b/src/region.rs
@@ -47,6 +47,7 @@
 mod reachability;
 mod reassignment;
 mod rebound_ranges;
+mod recent_starts;
 mod reconciliation;
 mod remaining_tasks;
 mod reservation;
@@ -81,6 +82,7 @@
 use machine_records::MachineRecordChanges;
 use queue::JobQueue;
 use quota_share::QuotaShares;
+use recent_starts::RecentStarts;
 use reconciliation::Reconciliation;
 use reservation::GangReservation;
 use runtime_estimates::RuntimeEstimates;
@@ -126,6 +128,7 @@
     /// Jobs with results that are not yet committed.
     unrecorded_jobs: BTreeSet<JobId>,
     undispatched: UndispatchedTasks,
+    recent_starts: RecentStarts,
     queue: JobQueue,
     runtime_estimates: RuntimeEstimates,
     reservation: Option<GangReservation>,
@@ -154,6 +157,7 @@
             jobs: BTreeMap::new(),
             unrecorded_jobs: BTreeSet::new(),
             undispatched: UndispatchedTasks::default(),
+            recent_starts: RecentStarts::default(),
             queue: JobQueue::new(context.replica.teams.keys().cloned()),
             runtime_estimates: RuntimeEstimates::default(),
             reservation: None,
--- a/src/region/heartbeat_answers.rs
+++ b/src/region/heartbeat_answers.rs
@@ -1,8 +1,11 @@
 //! Commands in the answer to a heartbeat, which stop and start tasks on the machine.
 
+use std::rc::Rc;
+
 use salttiller_records::model::JobId;
 
 use super::machine::Machine;
+use super::recent_starts::Start;
 use super::{Region, SchedulingContext, TaskState};
 use crate::worker_protocol::{Command, MAX_COMMANDS};
 
@@ -43,7 +46,7 @@
     /// first the replies about reported tasks, then stops, then starts.
     pub(super) fn answer_commands(
         &mut self,
-        name: &str,
+        name: &Rc<str>,
         replies: Vec<Command>,
         context: &SchedulingContext<'_>,
     ) -> Vec<Command> {
@@ -71,7 +74,7 @@
     /// commands.
     fn dispatch_assigned(
         &mut self,
-        machine: &str,
+        machine: &Rc<str>,
         limit: usize,
         context: &SchedulingContext<'_>,
     ) -> Vec<Command> {
@@ -94,6 +97,13 @@
                 self.name,
                 assignment.attempt
             );
+            let start = Start {
+                machine: machine.clone(),
+                job: id.clone(),
+                task: *task,
+                attempt: assignment.attempt,
+            };
+            self.recent_starts.record(start, context.now);
             starts.push(Command::start(id.clone(), *task, assignment.attempt));
         }
         starts
--- a/src/region/task_reports.rs
+++ b/src/region/task_reports.rs
@@ -10,6 +10,7 @@
 
 use super::failure_attribution;
 use super::job::Job;
+use super::recent_starts::Start;
 use super::task::AssignmentTarget;
 use super::{only_fitting_type, Region, SchedulingContext, TaskState};
 use crate::worker_protocol::{Command, ExitReason, ReportedState, ReportedTask};
@@ -25,8 +26,9 @@
     Kept,
     /// This command is sent to the worker.
     Reply(Command),
-    /// The task is done; the worker keeps the result until the result is recorded.
-    AwaitsRecord,
+    /// The task has ended, and the worker keeps listing it: its result is not recorded yet, or a
+    /// copy of its start may still arrive.
+    NotReaped,
 }
 
 /// Whether a worker reports the current attempt of a task.
@@ -54,9 +56,14 @@
 
     /// Handles a listed task that has ended. The answer reaps the task at once or, if the
     /// task is done, once its result is recorded.
+    ///
+    /// Guards against a copy of the answer that started the task: after the reap the worker would
+    /// start the task once more, beside the next attempt on another machine or after the job was
+    /// cancelled. While a copy may still be executed, the task is not reaped, and one that must be
+    /// repeated stays on its machine. A later heartbeat shows the machine without the task.
     fn on_reported_end(
         &mut self,
-        machine: &str,
+        machine: &Rc<str>,
         task: &ReportedTask,
         reason: ExitReason,
         context: &SchedulingContext<'_>,
@@ -71,19 +78,36 @@
             }
             _ => Attempt::Other,
         };
+        let start = Start {
+            machine: machine.clone(),
+            job: task.job.clone(),
+            task: task.task,
+            attempt: task.attempt,
+        };
+        let may_be_repeated = self.recent_starts.may_be_repeated(&start, context.now);
+        if may_be_repeated && attempt == Attempt::Current && !self.is_result(&task.job, reason) {
+            return TaskOutcome::Kept;
+        }
         if attempt == Attempt::Current || reason == ExitReason::Done {
             self.on_ended(machine, task, reason, attempt, context);
         }
         let is_recorded = self.jobs.get(&task.job).is_none_or(|job| {
             job.tasks.done().contains(task.task) && !job.tasks.unrecorded_done().contains(task.task)
         });
-        if reason != ExitReason::Done || context.has_job_ended(&task.job) || is_recorded {
+        let is_over = reason != ExitReason::Done || context.has_job_ended(&task.job) || is_recorded;
+        if is_over && !may_be_repeated {
             TaskOutcome::Reply(Command::reap(task.job.clone(), task.task, task.attempt))
         } else {
-            TaskOutcome::AwaitsRecord
+            TaskOutcome::NotReaped
         }
     }
 
+    /// Whether a task of a job that ended for this reason has a result. A service has none.
+    fn is_result(&self, job: &str, reason: ExitReason) -> bool {
+        let job = self.jobs.get(job);
+        reason == ExitReason::Done && job.is_none_or(|job| job.spec.kind != JobKind::Service)
+    }
+
     /// Handles a listed task that has not ended. The task is kept if it is the assigned attempt
     /// or may be adopted from a former owner; otherwise it is stopped.
     fn on_reported_running(
@@ -211,10 +235,10 @@
         attempt: Attempt,
         context: &SchedulingContext<'_>,
     ) {
-        let Some(job) = self.jobs.get(&task.job) else {
+        if !self.jobs.contains_key(&task.job) {
             return;
-        };
-        if reason == ExitReason::Done && job.spec.kind != JobKind::Service {
+        }
+        if self.is_result(&task.job, reason) {
             self.on_done(machine, task, attempt, context);
         } else if attempt == Attempt::Current {
             self.on_ended_without_result(machine, task, reason, context);
--- a/src/region/tests.rs
+++ b/src/region/tests.rs
@@ -7,6 +7,7 @@
 mod placement;
 mod quotas;
 mod scheduling_order;
+mod start_copies;
 mod test_cluster;
 
 pub(super) use test_cluster::TestCluster;
--- a/src/region/tests/test_cluster.rs
+++ b/src/region/tests/test_cluster.rs
@@ -179,8 +179,8 @@
         }
     }
 
-    /// Sends a heartbeat of a machine, in which tasks past their run time have ended. Returns the
-    /// commands of the answer.
+    /// Sends a heartbeat of a machine, in which tasks past their run time have ended. The machine
+    /// lists them until they are reaped. Returns the commands of the answer.
     fn report(&mut self, machine: &str, now: Micros) -> Vec<Command> {
         let mut report = heartbeat(machine, self.sequence, TOKEN, &[]);
         let tasks = self.running.get_mut(machine).unwrap();
@@ -195,7 +195,6 @@
                     (true, false) => ReportedState::Ended(ExitReason::Done),
                 }));
         }
-        tasks.retain(|_, ends_at| *ends_at > now);
         let context = self.fixture.context(now);
         match self.region.on_heartbeat(&report, &context) {
             HeartbeatOutcome::Accepted(commands) => commands,
@@ -217,6 +216,12 @@
                     attempt: command.attempt,
                 };
                 tasks.insert(task, now + RUN_TIME);
+            } else if command.kind == CommandKind::Reap {
+                let is_reaped = |task: &RunningTask| {
+                    (task.job.as_str(), task.task, task.attempt)
+                        == (&*command.job, command.task, command.attempt)
+                };
+                tasks.retain(|task, ends_at| !is_reaped(task) || *ends_at > now);
             }
         }
     }
--- a/src/simulation/days/partial_failures.rs
+++ b/src/simulation/days/partial_failures.rs
@@ -8,7 +8,7 @@
 
 /// Returns all days with partial failures.
 pub(crate) fn days() -> impl Iterator<Item = &'static Day> {
-    [PARTITIONS, PAUSES, PROVISIONING_AND_JOBS]
+    [PARTITIONS, PAUSES, PROVISIONING_AND_JOBS, COPIES]
         .into_iter()
         .flatten()
 }
@@ -183,3 +183,42 @@
         },
     },
 ];
+
+/// Answers that workers have carried out reach them once more.
+const COPIES: &[Day] = &[
+    Day {
+        name: "answers arrive twice while jobs fail and are cancelled",
+        faults: |rng| {
+            vec![
+                at(5.0, Fault::DuplicateWorkerResponses(200 * SECOND)),
+                at(30.0 + rng.f64() * 30.0, Fault::cancel_running(4)),
+                at(
+                    40.0 + rng.f64() * 60.0,
+                    Fault::RestartController(rng.usize(0..3)),
+                ),
+                at(60.0 + rng.f64() * 40.0, Fault::RebootMachine),
+                at(80.0 + rng.f64() * 40.0, Fault::cancel_running(6)),
+                at(90.0 + rng.f64() * 30.0, Fault::FailMachine),
+                at(100.0 + rng.f64() * 20.0, Fault::RestartLeader),
+            ]
+        },
+        workload: Workload::FailingJobs,
+        occurred: |observations| observations.copied_starts > 20 && observations.task_failures > 10,
+    },
+    Day {
+        name: "answers arrive twice while tasks are preempted",
+        faults: |rng| {
+            vec![
+                at(5.0, Fault::DuplicateWorkerResponses(200 * SECOND)),
+                at(
+                    40.0 + rng.f64() * 60.0,
+                    Fault::RestartController(rng.usize(0..3)),
+                ),
+                at(50.0 + rng.f64() * 50.0, Fault::cancel_running(6)),
+                at(60.0 + rng.f64() * 40.0, Fault::RebootMachine),
+            ]
+        },
+        workload: Workload::Overload,
+        occurred: |observations| observations.copied_starts > 20,
+    },
+];
--- a/src/simulation/events.rs
+++ b/src/simulation/events.rs
@@ -65,6 +65,8 @@
     },
     /// A controller's response reaches the requester.
     Response(Requester, Response),
+    /// A copy of a response that a worker has accepted reaches the worker.
+    ResponseCopy(Heartbeat, Response),
     /// A controller's call reaches an external service.
     ServiceCall(Caller, Call),
     /// The result of a call reaches the controller that made it.
--- a/src/simulation/faults.rs
+++ b/src/simulation/faults.rs
@@ -72,6 +72,10 @@
     /// Responses to workers are delayed by up to 6 s.
     DelayWorkerResponses(Micros),
 
+    /// Copies of responses with commands reach the workers that have accepted them, within the time
+    /// for which they accept responses.
+    DuplicateWorkerResponses(Micros),
+
     /// The state service refuses all controllers.
     StoreOutage(Micros),
     /// The state service refuses the leader only.
@@ -165,6 +169,7 @@
             | Fault::PartitionWorkers(duration)
             | Fault::DuplicateHeartbeats(duration)
             | Fault::DelayWorkerResponses(duration)
+            | Fault::DuplicateWorkerResponses(duration)
             | Fault::StoreOutage(duration)
             | Fault::StoreRefusesLeader(duration)
             | Fault::SlowStore(duration)
--- a/src/simulation/faults/injection.rs
+++ b/src/simulation/faults/injection.rs
@@ -42,6 +42,10 @@
             Fault::DuplicateHeartbeats(_) => self.network.heartbeats_duplicated_until = until,
             Fault::DelayWorkerResponses(_) => self.network.worker_responses_delayed_until = until,
 
+            Fault::DuplicateWorkerResponses(_) => {
+                self.network.worker_responses_duplicated_until = until;
+            }
+
             Fault::StoreOutage(_) => self.store.begin_outage(until),
             Fault::StoreRefusesLeader(_) => self.leading_controller().refused_until = until,
             Fault::SlowStore(_) => self.network.store_slow_until = until,
--- a/src/simulation/invariants/starts.rs
+++ b/src/simulation/invariants/starts.rs
@@ -10,7 +10,7 @@
 
 /// Maximum time that a start command may be in flight after a cancellation was confirmed.
 const COMMAND_LATENCY: Micros = 100 * MILLISECOND;
-/// Maximum time in flight of a start command while responses to workers are delayed. Workers drop
+/// Maximum time in flight of a start command while responses to workers are delayed or copied. Workers drop
 /// responses that take longer.
 const DELAYED_COMMAND_LATENCY: Micros = 4 * SECOND;
 /// Maximum time after a period of delays within which delayed responses still arrive.
@@ -28,7 +28,7 @@
         let store_unavailable = self.is_store_unavailable_to(controller);
         self.observations.starts_without_store += u32::from(store_unavailable);
         let violation = self
-            .cancellation_violation(controller, task)
+            .cancellation_violation(machine, controller, task)
             .or_else(|| self.dependency_violation(task))
             .or_else(|| self.placement_violation(machine, task));
         match violation {
@@ -51,11 +51,12 @@
 
     fn cancellation_violation(
         &mut self,
+        machine: &str,
         controller: usize,
         task: &str,
     ) -> Option<(Invariant, String)> {
         let confirmed_at = self.job_of(task).cancel_confirmed_at?;
-        let in_flight_until = confirmed_at + self.max_command_latency(controller);
+        let in_flight_until = confirmed_at + self.max_command_latency(machine, controller);
         self.observations.starts_after_cancel += u32::from(self.now > in_flight_until);
         let is_late = self.now > confirmed_at + CANCEL_DEADLINE;
         is_late.then(|| (Invariant::RanCancelled, task.to_owned()))
@@ -63,7 +64,14 @@
 
     /// Returns the maximum time after a confirmed cancellation at which a start by a controller may
     /// still occur.
-    fn max_command_latency(&self, controller: usize) -> Micros {
+    fn max_command_latency(&self, machine: &str, controller: usize) -> Micros {
+        // A machine that has just rebooted has forgotten the starts that it carried out, and its
+        // heartbeats are ignored. A copy of a start that was sent before the cancellation is a command
+        // in flight.
+        let forgot_until = self.workers[machine].rebooted_at + DELAYED_COMMAND_LATENCY;
+        if self.now < self.network.worker_responses_duplicated_until && self.now < forgot_until {
+            return DELAYED_COMMAND_LATENCY;
+        }
         let delayed_until = self.network.worker_responses_delayed_until + MAX_DELAYED_RESPONSE_TIME;
         if self.now < delayed_until {
             return DELAYED_COMMAND_LATENCY;
--- a/src/simulation/network.rs
+++ b/src/simulation/network.rs
@@ -130,6 +130,8 @@
 pub(super) struct NetworkFaults {
     /// Responses to workers are delayed by up to [`MAX_RESPONSE_DELAY_MS`].
     pub worker_responses_delayed_until: Micros,
+    /// Responses with commands reach their workers a second time.
+    pub worker_responses_duplicated_until: Micros,
     /// Heartbeats are duplicated, and the duplicates arrive late at a random controller.
     pub heartbeats_duplicated_until: Micros,
     /// A third of the commits get no response and are executed late.
--- a/src/simulation/observations.rs
+++ b/src/simulation/observations.rs
@@ -28,6 +28,8 @@
     pub leader_elections: u32,
     /// Responses that reached their worker after its timeout.
     pub late_responses: u32,
+    /// Start commands in copies of responses, most of which have no effect.
+    pub copied_starts: u32,
     /// Peak use of a team's quota, as a fraction of the quota.
     pub peak_quota_use: f64,
     /// Results of jobs for which the leader has changed since their first result.
--- a/src/simulation/tests/failures.rs
+++ b/src/simulation/tests/failures.rs
@@ -77,7 +77,7 @@
 const SEEDS_WITH_GANG_SHORT_OF_QUOTA: [u64; 5] = [21, 39, 358, 371, 382];
 
 /// Days that violate an invariant while the safeguard is disabled.
-const SAFEGUARDS_OF_DAYS: [(&str, Safeguard); 19] = [
+const SAFEGUARDS_OF_DAYS: [(&str, Safeguard); 21] = [
     ("the gap", Safeguard::AuthorityDeadline),
     (
         "the gap, and the machines hang",
@@ -142,6 +142,14 @@
         "jobs of two or three tasks end far apart across new leaders",
         Safeguard::Incarnation,
     ),
+    (
+        "answers arrive twice while jobs fail and are cancelled",
+        Safeguard::StartCopies,
+    ),
+    (
+        "answers arrive twice while tasks are preempted",
+        Safeguard::StartCopies,
+    ),
 ];
 
 /// Whether a day fails on at least one seed while the safeguard is disabled.
--- a/src/simulation/workers.rs
+++ b/src/simulation/workers.rs
@@ -57,6 +57,8 @@
     /// Number of the timer set last; earlier timers are ignored.
     timer: u64,
     failed: bool,
+    /// Time of the last reboot; 0 if there was none.
+    pub rebooted_at: Micros,
     /// Time until which the worker and its tasks are paused.
     pub paused_until: Micros,
     /// Time until which responses do not reach the worker.
@@ -81,6 +83,7 @@
             controller,
             timer: 0,
             failed: false,
+            rebooted_at: 0,
             paused_until: 0,
             responses_lost_until: 0,
             unreachable_until: 0,
@@ -111,6 +114,7 @@
         (self.incarnation, self.sequence, self.token) = (1, 0, 0);
         self.tasks.clear();
         self.lease_renewed_at = now;
+        self.rebooted_at = now;
     }
 
     /// Returns the tasks that have not ended.
@@ -142,9 +146,14 @@
     /// Whether the response to a heartbeat is accepted: no newer heartbeat was sent, the response
     /// arrived before the timeout, and the worker can receive responses.
     fn accepts_response(&self, heartbeat: &Heartbeat, now: Micros) -> bool {
+        self.sequence == heartbeat.sequence && self.accepts_copy(heartbeat, now)
+    }
+
+    /// Whether a copy of the response to a heartbeat may be executed, also after newer heartbeats
+    /// were sent.
+    fn accepts_copy(&self, heartbeat: &Heartbeat, now: Micros) -> bool {
         !self.failed
             && self.incarnation == heartbeat.incarnation
-            && self.sequence == heartbeat.sequence
             && !heartbeat.has_timed_out(now)
             && now >= self.paused_until
             && now >= self.responses_lost_until
@@ -311,10 +320,37 @@
         for command in &commands {
             self.execute_command(name, command);
         }
+        if now < self.network.worker_responses_duplicated_until && !commands.is_empty() {
+            let copied_at = self.rng.u64(now..=heartbeat.sent_at + RESPONSE_TIMEOUT);
+            let copy = Event::ResponseCopy(heartbeat.clone(), response.clone());
+            self.schedule(copied_at, copy);
+        }
         let wait = match report_soon {
             true => HEARTBEAT_INTERVAL_AFTER_COMMANDS,
             false => HEARTBEAT_INTERVAL,
         };
         self.schedule_heartbeat(name, now + wait, timer);
     }
+
+    /// Handles a copy of a response that a worker has accepted before. The worker executes its
+    /// commands again if the response could still be accepted: it belongs to the current incarnation,
+    /// carries no outdated token and is not too old.
+    pub(super) fn on_response_copy(&mut self, heartbeat: &Heartbeat, response: &Response) {
+        let now = self.now;
+        let name = heartbeat.machine.as_str();
+        let body = decode(&response.body);
+        let token = body["brand"].as_u64().unwrap_or(0);
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        if !worker.accepts_copy(heartbeat, now) || token < worker.token {
+            return;
+        }
+        worker.token = token;
+        let commands = body["calls"].as_array().cloned().unwrap_or_default();
+        for command in &commands {
+            self.observations.copied_starts += u32::from(command["call"] == "start");
+            self.execute_command(name, command);
+        }
+    }
 }
--- a/src/simulation/world.rs
+++ b/src/simulation/world.rs
@@ -130,6 +130,9 @@
                 requester,
             } => self.receive_request(controller, request, requester),
             Event::Response(requester, response) => self.on_response(requester, &response),
+            Event::ResponseCopy(heartbeat, response) => {
+                self.on_response_copy(&heartbeat, &response);
+            }
             Event::ServiceCall(caller, call) => self.serve_call(caller, &call),
             Event::CallResult(caller, result) => {
                 if self.controllers[caller.controller].run() == caller.run {
