Let the pause between rebinding requests grow only after six without effect

Cause: the pause grew from the second request on that left the job's record unchanged. The owner of a busy job refuses requests while it commits results of the job, so moves of large arrays were delayed by up to 32 s, although the next request would have succeeded.

Change: the pause grows only once more than five consecutive requests had no effect.

The unit tests of the pauses pass.

--- a/src/leader/rebinding.rs
+++ b/src/leader/rebinding.rs
@@ -36,6 +36,9 @@
 /// Interval at which the log repeats why a job that keeps waiting is not rebound.
 const OBSTACLE_LOG_INTERVAL: Micros = 10 * SECOND;
 
+/// Number of requests without effect after which the pause grows. The owner of a busy job refuses
+/// some requests while it commits other changes of the job.
+const TOLERATED_REQUESTS: u32 = 5;
 /// Maximum pause after requests without effect, in doublings of [`REBINDING_PAUSE`].
 const MAX_PAUSE_DOUBLINGS: u32 = 4;
 /// Time for which a request is remembered after its pause, to notice that it had no effect.
@@ -47,7 +50,7 @@
     paused_until: Micros,
     /// Version of the job's record at the time of the request. A rebinding changes the record.
     record_version: u64,
-    /// Number of consecutive requests without effect, up to [`MAX_PAUSE_DOUBLINGS`].
+    /// Number of consecutive requests without effect.
     without_effect: u32,
 }
 
@@ -61,7 +64,7 @@
     /// Records a request to rebind a job, which must not be rebound again within `pause`. Returns the
     /// number of requests before this one that had no effect.
     ///
-    /// The pause grows with each request that left the job's record unchanged. Guards against a
+    /// The pause grows once several requests have left the job's record unchanged. Guards against a
     /// plan that counts on capacity of another region without end for a job that its owner does not
     /// hand over: during the pause the job counts as one that stays where it is.
     pub(super) fn insert(
@@ -74,10 +77,12 @@
         let previous = self.requests.get(job);
         let without_effect = previous
             .filter(|request| request.record_version == record_version)
-            .map_or(0, |request| request.without_effect + 1)
+            .map_or(0, |request| request.without_effect + 1);
+        let doublings = without_effect
+            .saturating_sub(TOLERATED_REQUESTS)
             .min(MAX_PAUSE_DOUBLINGS);
         let request = RebindingRequest {
-            paused_until: now + pause.max(REBINDING_PAUSE << without_effect),
+            paused_until: now + pause.max(REBINDING_PAUSE << doublings),
             record_version,
             without_effect,
         };
@@ -334,7 +339,7 @@
         let without_effect = self
             .recent_rebindings
             .insert(&job.id, version, pause, context.now);
-        if without_effect > 0 {
+        if without_effect > TOLERATED_REQUESTS {
             log::info!(
                 "region={} job={}: the last {without_effect} requests to rebind it had no effect",
                 job.region,
--- a/src/leader/rebinding/tests.rs
+++ b/src/leader/rebinding/tests.rs
@@ -11,14 +11,19 @@
     let mut now = SECOND;
     for (record_version, without_effect, pause) in [
         (5, 0, 2 * SECOND),
-        (5, 1, 4 * SECOND),
-        (5, 2, 8 * SECOND),
-        (5, 3, 16 * SECOND),
-        (5, 4, 32 * SECOND),
-        (5, 4, 32 * SECOND),
+        (5, 1, 2 * SECOND),
+        (5, 2, 2 * SECOND),
+        (5, 3, 2 * SECOND),
+        (5, 4, 2 * SECOND),
+        (5, 5, 2 * SECOND),
+        (5, 6, 4 * SECOND),
+        (5, 7, 8 * SECOND),
+        (5, 8, 16 * SECOND),
+        (5, 9, 32 * SECOND),
+        (5, 10, 32 * SECOND),
         (6, 0, 2 * SECOND),
         (7, 0, 2 * SECOND),
-        (7, 1, 4 * SECOND),
+        (7, 1, 2 * SECOND),
     ] {
         assert!(!requests.is_paused("req-1", now));
         let counted = requests.insert("req-1", record_version, REBINDING_PAUSE, now);
@@ -37,7 +42,10 @@
 #[test]
 fn a_longer_pause_is_kept() {
     let mut requests = RecentRebindings::default();
-    for (at, pause) in [(0, 12), (20, 12), (40, 12), (60, 16), (80, 32)] {
+    for _ in 0..TOLERATED_REQUESTS {
+        requests.insert("req-1", 1, 12 * SECOND, 0);
+    }
+    for (at, pause) in [(20, 12), (40, 12), (60, 12), (80, 16), (100, 32)] {
         requests.insert("req-1", 1, 12 * SECOND, at * SECOND);
         assert!(
             requests.is_paused("req-1", (at + pause) * SECOND - 1),
