Command no worker by records that heartbeats may still contradict

Cause: a controller that has just started answers no user from unverified records, but it commanded workers by them. Until a heartbeat proved the loss, it stopped tasks that the older records bind elsewhere, and used a quota share that had moved to another region since.

With detection off nothing changes.

--- a/crates/recovery/src/detection.rs
+++ b/crates/recovery/src/detection.rs
@@ -77,6 +77,12 @@
         }
     }
 
+    /// Returns the time from which the records count as verified.
+    #[must_use]
+    pub fn verified_at(&self) -> Micros {
+        self.verified_at
+    }
+
     /// Whether workers have had enough time since the controller's start to contradict the records.
     #[must_use]
     pub fn is_verified(&self, now: Micros) -> bool {
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -186,8 +186,10 @@
         self.cluster.now = self.net.monotonic_now();
         self.cluster.state_store.request_lease(LeaseRole::Owner);
         if self.cluster.settings.operator.detect_lost_records {
-            self.data_loss
-                .start_detection(self.cluster.now, self.cluster.settings.heartbeat_interval);
+            let heartbeat_interval = self.cluster.settings.heartbeat_interval;
+            self.cluster.records_verified_at = self
+                .data_loss
+                .start_detection(self.cluster.now, heartbeat_interval);
         }
     }
 
--- a/src/controller/cluster_state.rs
+++ b/src/controller/cluster_state.rs
@@ -53,6 +53,8 @@
     /// Time before which no task is started because of an operator's decision on lost records.
     /// `None` until it is known whether there is such a decision.
     pub starts_after: Option<Micros>,
+    /// Time from which the records count as verified; 0 if lost records are not detected.
+    pub records_verified_at: Micros,
     /// Identifies this incarnation in records. The number changes when the owner lease is lost.
     incarnation: u64,
 }
@@ -68,6 +70,7 @@
             cancellations: ReportedCancellations::default(),
             now: 0,
             starts_after: None,
+            records_verified_at: 0,
             settings,
         }
     }
@@ -82,6 +85,7 @@
             wall,
             quota_blocked_teams: self.region_reports.quota_blocked_teams(),
             may_start: self.may_start(),
+            are_records_verified: self.are_records_verified(),
             reported_cancelled: self.cancellations.jobs(),
         }
     }
@@ -163,9 +167,18 @@
         }
     }
 
-    /// Whether task starts are still delayed by a decision on lost records.
+    /// Whether task starts are still delayed by a decision on lost records, or until the records are
+    /// verified.
     fn is_start_delayed(&self) -> bool {
-        self.starts_after.is_some_and(|at| self.now < at)
+        self.starts_after.is_some_and(|at| self.now < at) || !self.are_records_verified()
+    }
+
+    /// Whether workers have had time since the start to contradict the records. Guards against a
+    /// controller that starts after records were lost and, before a heartbeat proves the loss, stops
+    /// tasks that the older records bind elsewhere, or starts tasks beyond a quota of which the older
+    /// records give it a larger share.
+    fn are_records_verified(&self) -> bool {
+        self.now >= self.records_verified_at || is_disabled(Safeguard::VerifiedStart)
     }
 
     /// Whether all controllers lost the state service at about the same time.
--- a/src/controller/data_loss_hold.rs
+++ b/src/controller/data_loss_hold.rs
@@ -68,8 +68,12 @@
 impl DataLossProtection {
     /// Starts the detection of lost records. `heartbeat_interval` is the workers' interval between
     /// heartbeats.
-    pub(super) fn start_detection(&mut self, now: Micros, heartbeat_interval: Micros) {
-        self.detection = Some(LossDetector::new(now, heartbeat_interval));
+    /// Returns the time from which the records count as verified.
+    pub(super) fn start_detection(&mut self, now: Micros, heartbeat_interval: Micros) -> Micros {
+        let detector = LossDetector::new(now, heartbeat_interval);
+        let verified_at = detector.verified_at();
+        self.detection = Some(detector);
+        verified_at
     }
 
     /// Whether a hold is in force.
--- a/src/leader/unknown_machines/tests.rs
+++ b/src/leader/unknown_machines/tests.rs
@@ -44,6 +44,7 @@
                 wall: now,
                 quota_blocked_teams: &BTreeMap::new(),
                 may_start: true,
+                are_records_verified: true,
                 reported_cancelled: &BTreeSet::new(),
             };
             unknown.on_list(&inventory, &BTreeSet::new(), &context)
--- a/src/region/context.rs
+++ b/src/region/context.rs
@@ -24,11 +24,20 @@
     pub quota_blocked_teams: &'a BTreeMap<String, u64>,
     /// Whether new tasks may be started; otherwise running tasks are only kept running.
     pub may_start: bool,
+    /// Whether workers have had time since the controller's start to contradict the records.
+    /// Otherwise records may be lost, so tasks that the records don't expect are neither stopped nor
+    /// reaped.
+    pub are_records_verified: bool,
     /// Jobs that peers reported as cancelled; the replica may not show the cancellation yet.
     pub reported_cancelled: &'a BTreeSet<String>,
 }
 
 impl SchedulingContext<'_> {
+    /// Whether a job is known to be cancelled, from its record or from a peer.
+    pub(super) fn is_job_cancelled(&self, id: &str) -> bool {
+        self.replica.stage(id) == Some(JobStage::Cancelled) || self.reported_cancelled.contains(id)
+    }
+
     /// Whether no task of a job may run any more: the job has ended, has been reported
     /// cancelled, or has no record.
     pub(super) fn has_job_ended(&self, id: &str) -> bool {
--- a/src/region/heartbeats.rs
+++ b/src/region/heartbeats.rs
@@ -124,7 +124,7 @@
                     reported.kept.insert((task.job.clone(), task.task));
                 }
                 TaskOutcome::Reply(command) => reported.replies.push(command),
-                TaskOutcome::NotReaped => {}
+                TaskOutcome::NoCommand => {}
             }
         }
         reported
--- a/src/region/task_reports.rs
+++ b/src/region/task_reports.rs
@@ -26,9 +26,10 @@
     Kept,
     /// This command is sent to the worker.
     Reply(Command),
-    /// The task has ended, and the worker keeps listing it: its result is not recorded yet, or a
-    /// copy of its start may still arrive.
-    NotReaped,
+    /// Nothing is sent about the task, and the worker keeps listing it. It has ended, and its result is
+    /// not recorded yet or a copy of its start may still arrive; or the records that don't expect it
+    /// are not verified yet.
+    NoCommand,
 }
 
 /// Whether a worker reports the current attempt of a task.
@@ -95,10 +96,10 @@
             job.tasks.done().contains(task.task) && !job.tasks.unrecorded_done().contains(task.task)
         });
         let is_over = reason != ExitReason::Done || context.has_job_ended(&task.job) || is_recorded;
-        if is_over && !may_be_repeated {
+        if is_over && !may_be_repeated && context.are_records_verified {
             TaskOutcome::Reply(Command::reap(task.job.clone(), task.task, task.attempt))
         } else {
-            TaskOutcome::NotReaped
+            TaskOutcome::NoCommand
         }
     }
 
@@ -129,6 +130,8 @@
         }
         if self.adopt(machine, task, context) {
             TaskOutcome::Kept
+        } else if !context.are_records_verified && !context.is_job_cancelled(&task.job) {
+            TaskOutcome::NoCommand
         } else {
             TaskOutcome::Reply(Command::stop(task.job.clone(), task.task, task.attempt, 0))
         }
--- a/src/region/tests/fixture.rs
+++ b/src/region/tests/fixture.rs
@@ -87,6 +87,7 @@
             wall: now,
             quota_blocked_teams: &self.quota_blocked_teams,
             may_start: self.may_start,
+            are_records_verified: true,
             reported_cancelled: &self.reported_cancelled,
         }
     }
--- a/src/simulation/tests/lost_records.rs
+++ b/src/simulation/tests/lost_records.rs
@@ -232,6 +232,31 @@
     );
 }
 
+/// Seeds of "set back, all restart" on which controllers acted on the older records before a heartbeat
+/// proved the loss: tasks were stopped, or a team used more than its quota (97).
+const SEEDS_WITH_LATE_EVIDENCE: [u64; 3] = [56, 97, 100];
+
+/// Guards against controllers that start after records were lost and act on the older records before
+/// workers had time to contradict them.
+#[test]
+fn controllers_wait_for_evidence_before_they_act_on_older_records() {
+    let day = record_losses::named("set back, all restart");
+    for seed in SEEDS_WITH_LATE_EVIDENCE {
+        let result = run_loss_day(day, seed).map(|_| ());
+        assert_eq!(result, Ok(()), "seed {seed}");
+    }
+    let fails_without = |seed: &u64| {
+        with_disabled(Safeguard::VerifiedStart, || {
+            run_loss_day(day, *seed).is_err()
+        })
+    };
+    let failing = SEEDS_WITH_LATE_EVIDENCE.iter().filter(|s| fails_without(s));
+    assert!(
+        failing.count() > 0,
+        "expected a failure without VerifiedStart"
+    );
+}
+
 /// Guards against tasks that outlast their cancellation: the record of the cancellation is lost, and
 /// the owner of the task's machine restarts before it has stopped the task. Its peers know of the
 /// cancellation and tell it during the hold.
