--- a/crates/records/src/model/range_set.rs
+++ b/crates/records/src/model/range_set.rs
@@ -137,6 +137,9 @@
     #[must_use]
     pub fn within(&self, start: u32, end: u32) -> RangeSet {
         let mut part = RangeSet::default();
+        if start >= end {
+            return part;
+        }
         let before = self.ranges.range(..start).next_back();
         for (&first, &last) in before.into_iter().chain(self.ranges.range(start..end)) {
             part.insert_range(first.max(start), last.min(end));
--- a/crates/records/src/model/tests.rs
+++ b/crates/records/src/model/tests.rs
@@ -52,6 +52,10 @@
                 previous_end = Some(end);
             }
         }
+        for (start, end) in [(0, 60), (5, 20), (20, 5), (7, 7), (13, 14)] {
+            let within = expected.iter().copied().filter(|number| (start..end).contains(number));
+            prop_assert_eq!(set.within(start, end).iter().collect::<Vec<_>>(), within.collect::<Vec<_>>());
+        }
         prop_assert_eq!(set.last_n(3).iter().collect::<Vec<_>>(),
             expected.iter().rev().take(3).rev().copied().collect::<Vec<_>>());
     }
